Close client connections that bring no request within 2.2 s

RequestDeadline closes a connection that has brought no whole request 2.2 s after connecting or after its last answer; bytes alone do not put it off.

--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -21,8 +21,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.timeout.ReadTimeoutException;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
@@ -36,8 +34,8 @@
 final class Server extends ChannelInitializer<Channel> {
     private static final Logger LOG = LoggerFactory.getLogger(Server.class);
     private static final int BODY_MOST = 64 * 1024, ID_MOST = 128, KEY_MOST = 256;
-    /** s; a connection on which nothing has come for so long is closed. */
-    private static final int SILENT_MOST = 120;
+    /** ms; the platform lets a connection be closed after 2 s without a request, and asks for it within 3 s. */
+    private static final long REQUEST_WITHIN = 2_200;
     /** ms; a longer time for a message is taken for a mistake. */
     private static final long TIME_MOST = 3_600_000;
 
@@ -54,7 +52,7 @@
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MOST), new HttpServerCodec(), new Whole(),
+        channel.pipeline().addLast(new HttpServerCodec(), new Whole(), new RequestDeadline(REQUEST_WITHIN),
             new Requests());
     }
 
@@ -139,7 +137,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException || cause instanceof ReadTimeoutException)) {
+            if (!(cause instanceof IOException)) {
                 LOG.error("connection of a client closed", cause);
             }
             context.close();
--- /dev/null
+++ b/src/test/java/wrenkeel/net/RequestDeadlineTest.java
@@ -0,0 +1,75 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Guards the descriptors: peers that ask for nothing must not hold them. On the channel's own frozen clock. */
+class RequestDeadlineTest {
+    /** s; the platform's limit for an error or a close, from connecting. */
+    private static final long OWED_WITHIN = 3;
+    private static final String REQUEST = "POST /bill HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
+
+    private static EmbeddedChannel client() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        channel.freezeTime();
+        channel.pipeline().addLast(new Server(null, 10));
+        channel.pipeline().fireChannelActive();
+        // The last handler would ask the loop, which is not under test.
+        channel.pipeline().removeLast();
+        return channel;
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    }
+
+    private static void pass(EmbeddedChannel channel, long millis) {
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    @Test
+    void aSilentPeerIsClosed() {
+        EmbeddedChannel channel = client();
+        pass(channel, 1_000);
+        assertTrue(channel.isOpen());
+        pass(channel, 1_000 * (OWED_WITHIN - 1));
+        assertFalse(channel.isOpen());
+    }
+
+    @Test
+    void aPeerThatTricklesIsClosedAsSoon() {
+        EmbeddedChannel channel = client();
+        for (int i = 0; i < OWED_WITHIN * 4 && channel.isOpen(); i++) {
+            channel.writeInbound(bytes(REQUEST.substring(i, i + 1)));
+            pass(channel, 250);
+        }
+        assertFalse(channel.isOpen());
+    }
+
+    @Test
+    void anOpenRequestIsNotCutOffAndAnAnsweredOneStartsTheTimeAnew() {
+        EmbeddedChannel channel = client();
+        pass(channel, 1_500);
+        channel.writeInbound(bytes(REQUEST));
+        FullHttpRequest request = channel.readInbound();
+        request.release();
+        pass(channel, 60_000);
+        assertTrue(channel.isOpen());
+        channel.writeOutbound(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.ACCEPTED));
+        pass(channel, 1_500);
+        assertTrue(channel.isOpen());
+        pass(channel, 1_500);
+        assertFalse(channel.isOpen());
+    }
+}
