Send what one turn has for an endpoint as one call where the settings allow bundles

Evidence: a dump of the module once a second showed slots free (7 to 18 of 20 in use) while 150 to 900 messages waited, nearly all of them for destinations of the kind `large` (window 1, told waits, refused again and again), and none for `small`. The settings give that kind 20 messages a call and its limit counts calls. The relay never sent more than one: Config.usable told the module of bundles of 1 ("all that the protocol carries"), though the protocol has POST /v1/messages:batch, and HostPool knew single calls only.

Config passes the kinds on; Loop gathers a turn's sends by endpoint, up to the kind's bundle and 64 KiB; HostPool carries several messages in a call, each with its own time-out, and reads the fates from the answer's body. A wait told by such an answer binds whatever became of a message, so the module now heeds it for every outcome.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -613,6 +613,8 @@
         Dest d = a.route.dest;
         Lane lane = a.route.lane;
         int kind = a.route.kind;
+        // A bundle's answer may carry a wait whatever became of this message.
+        lane.waitUntil = Math.max(lane.waitUntil, now + e.waitFor());
         if (a.again && (e.outcome() == Outcome.OK || e.outcome() == Outcome.FULL)) {
             eases[kind] += EASE_WEIGHT * ((e.outcome() == Outcome.OK ? 1 : 0) - eases[kind]);
         }
@@ -689,7 +691,6 @@
 
     private void refused(Lane lane, long told, Attempt a) {
         lane.pace = Math.max(paceLeast(lane), lane.pace * PACE_CUT);
-        lane.waitUntil = Math.max(lane.waitUntil, now + told);
         Dest d = a.route.dest;
         if (a.sent >= d.refusedAt) {
             d.refusals++;
--- a/src/main/java/wrenkeel/Wire.java
+++ b/src/main/java/wrenkeel/Wire.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -120,15 +121,24 @@
 
     /** Decodes one line. */
     public static Fields decode(String line) throws Malformed {
-        try (JsonParser parser = JSON.createParser(line)) {
-            if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new Malformed("not a JSON object");
+        return Fields.asFields(only(line), "line");
+    }
+
+    /** Decodes one array of objects. */
+    public static List<Fields> decodeArray(String text) throws Malformed {
+        return new Fields(Collections.singletonMap("array", only(text))).objects("array");
+    }
+
+    private static Object only(String text) throws Malformed {
+        try (JsonParser parser = JSON.createParser(text)) {
+            if (parser.nextToken() == null) {
+                throw new Malformed("nothing to read");
             }
             Object value = value(parser);
             if (parser.nextToken() != null) {
                 throw new Malformed("more than one value on the line");
             }
-            return Fields.asFields(value, "line");
+            return value;
         } catch (Malformed e) {
             throw e;
         } catch (IOException e) {
--- a/src/main/java/wrenkeel/net/Answers.java
+++ b/src/main/java/wrenkeel/net/Answers.java
@@ -2,7 +2,11 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 import wrenkeel.Relay.Outcome;
+import wrenkeel.Wire;
 
 /** The protocol's table of what a host's answer means. */
 final class Answers {
@@ -29,6 +33,39 @@
             }
             default -> outcome = Outcome.ERROR;
         }
+        return reply(answer, outcome, over, wait, latency);
+    }
+
+    /**
+     * What a bundle's answer with 200 means for one of its messages, by the state that its body names; one
+     * that it does not name, or calls by another word, may have run. A told wait binds whatever the state.
+     */
+    static HostPool.Reply reply(HttpResponse answer, String state, long latency) {
+        Outcome outcome = switch (state == null ? "" : state) {
+            case "accepted" -> Outcome.OK;
+            case "deferred" -> Outcome.FULL;
+            case "expired", "no_more" -> Outcome.NOT_SENT;
+            default -> Outcome.ERROR;
+        };
+        return reply(answer, outcome, outcome == Outcome.OK || "expired".equals(state),
+            micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)), latency);
+    }
+
+    /** The states by message that the body of a bundle's answer names; none if it cannot be read. */
+    static Map<String, String> states(byte[] body) {
+        Map<String, String> states = new HashMap<>();
+        try {
+            for (Wire.Fields entry : Wire.decodeArray(new String(body, StandardCharsets.UTF_8))) {
+                states.put(entry.text("id"), entry.text("state"));
+            }
+        } catch (Wire.Malformed e) {
+            return Map.of();
+        }
+        return states;
+    }
+
+    private static HostPool.Reply reply(HttpResponse answer, Outcome outcome, boolean over, long wait,
+                                        long latency) {
         String load = answer.headers().get("X-Server-Load");
         return new HostPool.Reply(outcome, over, wait, latency, field(load, "x0"), field(load, "x1"));
     }
--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -73,22 +73,20 @@
     }
 
     /**
-     * Two figures differ on sockets. One message a call is all that the protocol carries, so the module is
-     * told of no bundles. And a call goes out as late as its connection comes up, so the module is told that
-     * keys are remembered for so much less: a repeat then still comes inside the true window.
+     * One figure differs on sockets. A call goes out as late as its connection comes up, so the module is
+     * told that keys are remembered for so much less: a repeat then still comes inside the true window.
      */
     private static Relay.Settings usable(Relay.Settings s) throws Unusable {
         if (s.classes().isEmpty() || s.kinds().isEmpty() || s.relays() < 1 || s.allowed().slots() < 1
             || s.allowed().connectTimeout() <= 0 || s.allowed().keepAlive() <= 0) {
             throw new Unusable("settings lack classes, kinds, relays, slots or connection times");
         }
-        List<Relay.Kind> kinds = s.kinds().stream().map(k -> new Relay.Kind(k.apart(), 1)).toList();
         List<Relay.MessageClass> classes = s.classes().stream().map(c -> new Relay.MessageClass(c.name(),
             c.aim(), c.life(), c.worth(), c.lateWorth(), c.effect(), c.zoneGroup(),
             Math.max(0, c.window() - s.allowed().connectTimeout() - WINDOW_MARGIN), c.inOrder())).toList();
         return new Relay.Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(),
             s.weights(),
-            classes, s.tenants(), kinds, s.allowed(), s.rules(), s.prices());
+            classes, s.tenants(), s.kinds(), s.allowed(), s.rules(), s.prices());
     }
 
     private static List<String> names(Wire.Fields settings, String field) throws Wire.Malformed {
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -1,6 +1,7 @@
 package wrenkeel.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -13,7 +14,9 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -43,44 +47,48 @@
     private static final long IDLE_MARGIN = 1_000, SWEEP = 250;
     /** ns; an answer that has begun and is not at its end by then will not be waited for. */
     private static final long ANSWER_MOST = TimeUnit.SECONDS.toNanos(2);
+    /** Bytes of an answer's body that are read at most; the protocol allows no longer ones. */
+    private static final int BODY_MOST = 64 * 1024;
 
     /** What came back; times in microseconds, {@code left} and {@code limit} -1 if untold. */
     record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit) { }
 
-    /** One call, from when it was asked for until its reply. */
-    final class Call {
-        private final HostList.Host host;
+    /** One message's part in a call, from when it was asked for until its reply. */
+    static final class Part {
         private final Message message;
+        private final long patience;
         private final Consumer<Reply> whenEnded;
         private final long began = System.nanoTime();
-        private final long patience;
         private Future<?> timer;
-        private Channel channel;
-        private boolean written;
+        private Call call;
         private boolean ended;
 
-        private Call(HostList.Host host, Message message, long patience, Consumer<Reply> whenEnded) {
-            this.host = host;
+        /** It ends within {@code patience} microseconds; its reply comes exactly once. */
+        Part(Message message, long patience, Consumer<Reply> whenEnded) {
             this.message = message;
             this.patience = patience;
             this.whenEnded = whenEnded;
         }
 
-        /** Stops waiting. Closing the connection is how a host learns of it. */
+        Message message() {
+            return message;
+        }
+
+        /** Stops waiting. Closing the connection is how a host learns of it, once no other part waits. */
         void cancel() {
             abandon(Outcome.CANCELLED);
         }
 
         /** Its time is up. */
         private void giveUp() {
-            abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+            abandon(call.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
 
         private void abandon(Outcome outcome) {
             if (!ended) {
                 end(outcome);
-                if (channel != null) {
-                    channel.close();
+                if (call.over() && call.channel != null) {
+                    call.channel.close();
                 }
             }
         }
@@ -93,7 +101,9 @@
             if (!ended) {
                 ended = true;
                 timer.cancel(false);
-                pool(host).connecting.remove(this);
+                if (call.over()) {
+                    call.pool.connecting.remove(call);
+                }
                 whenEnded.accept(reply);
             }
         }
@@ -103,6 +113,40 @@
         }
     }
 
+    /** What goes out as one request: a message, or a bundle of them that share its fate. */
+    private static final class Call {
+        final HostList.Host host;
+        final List<Part> parts;
+        final Pool pool;
+        Channel channel;
+        boolean written;
+
+        Call(HostList.Host host, List<Part> parts, Pool pool) {
+            this.host = host;
+            this.parts = parts;
+            this.pool = pool;
+            parts.forEach(part -> part.call = this);
+        }
+
+        boolean bundle() {
+            return parts.size() > 1;
+        }
+
+        boolean over() {
+            return parts.stream().allMatch(part -> part.ended);
+        }
+
+        void end(Outcome outcome) {
+            parts.forEach(part -> part.end(outcome));
+        }
+
+        /** ms until the last of its parts stops waiting. */
+        long left() {
+            long most = parts.stream().mapToLong(part -> part.patience - part.latency()).max().orElse(0);
+            return Math.max(1, most / 1_000);
+        }
+    }
+
     private static final class Pool {
         /** Idle connections, the latest used last. */
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
@@ -137,16 +181,17 @@
         return pools.computeIfAbsent(host.number, n -> new Pool());
     }
 
-    /** Begins a call, which ends within {@code patience} microseconds; its reply comes exactly once. */
-    Call call(HostList.Host host, Message message, long patience, Consumer<Reply> whenEnded) {
-        Call call = new Call(host, message, patience, whenEnded);
-        call.timer = loop.schedule(call::giveUp,
-            patience, TimeUnit.MICROSECONDS);
+    /** Begins one call that carries these parts. */
+    void call(HostList.Host host, List<Part> parts) {
         Pool pool = pool(host);
+        Call call = new Call(host, List.copyOf(parts), pool);
+        for (Part part : call.parts) {
+            part.timer = loop.schedule(part::giveUp, part.patience, TimeUnit.MICROSECONDS);
+        }
         for (Connection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
             if (c.usable(host)) {
                 c.begin(call);
-                return call;
+                return;
             }
             c.channel.close();
         }
@@ -156,7 +201,7 @@
         connect.addListener(done -> {
             if (!done.isSuccess()) {
                 call.end(Outcome.CONNECT_FAILED);
-            } else if (call.ended) {
+            } else if (call.over()) {
                 call.channel.close();
             } else {
                 Connection c = call.channel.pipeline().get(Connection.class);
@@ -165,7 +210,6 @@
                 c.begin(call);
             }
         });
-        return call;
     }
 
     /**
@@ -175,7 +219,7 @@
      */
     void takeBack(HostList.Host host) {
         for (Call call : List.copyOf(pool(host).connecting)) {
-            call.abandon(Outcome.NOT_SENT);
+            call.parts.forEach(part -> part.abandon(Outcome.NOT_SENT));
         }
     }
 
@@ -207,7 +251,10 @@
         }
     }
 
-    /** One connection. It reports a call at the answer's head and is free again at its end. */
+    /**
+     * One connection. A call is reported at the answer's head, but for a bundle, whose fates its body tells;
+     * the connection is free again at the answer's end.
+     */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private Channel channel;
         private Pool pool;
@@ -217,6 +264,9 @@
         private boolean keep = true;
         private long answeredAt;
         private long idleSince;
+        /** The head of a bundle's answer, and what has come of its body; null when none is being read. */
+        private HttpResponse fates;
+        private ByteArrayOutputStream states;
 
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
@@ -241,11 +291,11 @@
             answered = false;
             keep = true;
             next.channel = channel;
+            states = null;
             pool.connecting.remove(next);
-            long left = Math.max(1, (next.patience - next.latency()) / 1_000);
             // The promise of a write is kept when its last byte has been handed to the socket: from then on
             // the call may run, before that it cannot.
-            channel.writeAndFlush(request(next, left)).addListener(done -> {
+            channel.writeAndFlush(request(next)).addListener(done -> {
                 next.written = done.isSuccess();
                 if (!done.isSuccess()) {
                     channel.close();
@@ -264,9 +314,12 @@
                 answered = true;
                 answeredAt = System.nanoTime();
                 keep &= HttpUtil.isKeepAlive(head) && call.written;
-                call.end(Answers.reply(head, call.latency()));
+                headed(head);
+            }
+            if (part instanceof HttpContent content && states != null) {
+                bodied(content);
             }
-            if (part instanceof LastHttpContent && answered) {
+            if (part instanceof LastHttpContent && answered && channel.isActive()) {
                 call = null;
                 idleSince = System.nanoTime();
                 if (keep) {
@@ -277,6 +330,30 @@
             }
         }
 
+        private void headed(HttpResponse head) {
+            if (call.bundle() && head.status().code() == 200) {
+                fates = head;
+                states = new ByteArrayOutputStream();
+            } else {
+                call.parts.forEach(part -> part.end(Answers.reply(head, part.latency())));
+            }
+        }
+
+        private void bodied(HttpContent content) {
+            if (states.size() + content.content().readableBytes() > BODY_MOST) {
+                channel.close();
+                return;
+            }
+            byte[] bytes = ByteBufUtil.getBytes(content.content());
+            states.write(bytes, 0, bytes.length);
+            if (content instanceof LastHttpContent) {
+                Map<String, String> told = Answers.states(states.toByteArray());
+                call.parts.forEach(part ->
+                    part.end(Answers.reply(fates, told.get(part.message.id()), part.latency())));
+                states = null;
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (pool != null) {
@@ -298,17 +375,23 @@
         }
     }
 
-    private static FullHttpRequest request(Call call, long leftMillis) {
-        Message m = call.message;
+    private static FullHttpRequest request(Call call) {
+        Message first = call.parts.get(0).message;
+        byte[] body = call.bundle() ? Bundle.encode(call.parts.stream().map(Part::message).toList())
+            : first.body();
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-            "/v1/messages",
-            Unpooled.wrappedBuffer(m.body()));
+            call.bundle() ? "/v1/messages:batch" : "/v1/messages", Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST,
                 call.host.dial.getAddress().getHostAddress() + ":" + call.host.dial.getPort())
-            .set("X-Request-ID", m.id()).set("X-Timeout-Ms", leftMillis)
-            .set(HttpHeaderNames.CONTENT_LENGTH, m.body().length);
-        if (m.idempotencyKey() != null) {
-            request.headers().set("Idempotency-Key", m.idempotencyKey());
+            .set("X-Timeout-Ms", call.left())
+            .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        if (call.bundle()) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            return request;
+        }
+        request.headers().set("X-Request-ID", first.id());
+        if (first.idempotencyKey() != null) {
+            request.headers().set("Idempotency-Key", first.idempotencyKey());
         }
         return request;
     }
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -39,7 +39,7 @@
     /** A message that the module holds, or that has calls out. */
     private static final class Held {
         final Message message;
-        final List<HostPool.Call> calls = new ArrayList<>();
+        final List<HostPool.Part> calls = new ArrayList<>();
         Journal.Entry entry;
         boolean over;
         int out;
@@ -61,6 +61,8 @@
     private final Map<String, Held> held = new HashMap<>();
     private List<Relay.Event> events = new ArrayList<>();
     private final Map<String, Answer> unanswered = new LinkedHashMap<>();
+    /** What this turn sends and is not yet on its way, by host. */
+    private final Map<HostList.Host, Bundle> bundles = new LinkedHashMap<>();
     private final long began = System.nanoTime();
     private boolean turnDue;
     private boolean stopped;
@@ -219,6 +221,7 @@
                     LOG.error("could not carry out {}", action, e);
                 }
             }
+            List.copyOf(bundles.keySet()).forEach(this::depart);
         } catch (RuntimeException e) {
             LOG.error("turn failed on {}", told, e);
             // Guards against standing still: the module's timer may have been lost with the turn.
@@ -276,9 +279,9 @@
             end(a.id(), new Journal.End(false, 0));
         } else if (action instanceof Relay.Cancel a) {
             Held h = held.get(a.id());
-            HostPool.Call call = h == null ? null : h.calls.get(a.attempt());
-            if (call != null) {
-                call.cancel();
+            HostPool.Part part = h == null ? null : h.calls.get(a.attempt());
+            if (part != null) {
+                part.cancel();
             }
         } else if (action instanceof Relay.Close a) {
             pool.closeIdle(hosts.host(a.endpoint()));
@@ -312,8 +315,18 @@
             ended(h, attempt, host, new HostPool.Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
             return;
         }
-        h.calls.set(attempt,
-            pool.call(host, h.message, a.timeout(), reply -> ended(h, attempt, host, reply)));
+        HostPool.Part part = new HostPool.Part(h.message, a.timeout(),
+            reply -> ended(h, attempt, host, reply));
+        h.calls.set(attempt, part);
+        if (!bundles.computeIfAbsent(host, key -> new Bundle())
+                .takes(h.message, settings.kinds().get(host.kind).bundle())) {
+            depart(host);
+        }
+        bundles.computeIfAbsent(host, key -> new Bundle()).add(part);
+    }
+
+    private void depart(HostList.Host host) {
+        pool.call(host, bundles.remove(host).parts());
     }
 
     private void ended(Held h, int attempt, HostList.Host host, HostPool.Reply reply) {
--- a/src/main/java/wrenkeel/net/RequestDeadline.java
+++ b/src/main/java/wrenkeel/net/RequestDeadline.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Closes a client's connection that has brought no whole request for a while, from connecting or from the last
- * answer. Bytes alone do not put it off: a peer that trickles holds a descriptor as much as a silent one.
+ * Closes a client's connection that has brought no whole request for a while, from connecting or from the
+ * last answer. Bytes alone do not put it off: a peer that trickles holds a descriptor as a silent one does.
  */
 final class RequestDeadline extends ChannelDuplexHandler {
     private final long millis;
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -34,7 +34,7 @@
 final class Server extends ChannelInitializer<Channel> {
     private static final Logger LOG = LoggerFactory.getLogger(Server.class);
     private static final int BODY_MOST = 64 * 1024, ID_MOST = 128, KEY_MOST = 256;
-    /** ms; the platform lets a connection be closed after 2 s without a request, and asks for it within 3 s. */
+    /** ms; without a request, a connection may be closed after 2 s, and must be within 3 s. */
     private static final long REQUEST_WITHIN = 2_200;
     /** ms; a longer time for a message is taken for a mistake. */
     private static final long TIME_MOST = 3_600_000;
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -37,10 +37,20 @@
         return new HostPool(group.next(), new Bootstrap().group(group), LONG, keepAlive);
     }
 
-    private HostPool.Call call(HostPool pool, int port, long patience, int bytes) throws Exception {
+    private HostPool.Part part(String id, String key, long patience, int bytes) {
+        return new HostPool.Part(new Message(id, "bill", 0, null, key, 7, 0, new byte[bytes]), patience,
+            replies::add);
+    }
+
+    private void call(HostPool pool, int port, HostPool.Part... parts) throws Exception {
         listed.dial = new InetSocketAddress(Platform.LOOPBACK, port);
-        Message message = new Message("a", "bill", 0, null, null, 7, 0, new byte[bytes]);
-        return group.next().submit(() -> pool.call(listed, message, patience, replies::add)).get();
+        group.next().submit(() -> pool.call(listed, List.of(parts))).get();
+    }
+
+    private HostPool.Part call(HostPool pool, int port, long patience, int bytes) throws Exception {
+        HostPool.Part part = part("a", null, patience, bytes);
+        call(pool, port, part);
+        return part;
     }
 
     private HostPool.Reply reply() throws InterruptedException {
@@ -107,7 +117,7 @@
             call(pool, host.port(), 200_000, 10);
             Host.Call late = host.call();
             assertEquals(Outcome.TIMEOUT, reply().outcome());
-            HostPool.Call call = call(pool, host.port(), LONG, 10);
+            HostPool.Part call = call(pool, host.port(), LONG, 10);
             Host.Call second = host.call();
             assertNotSame(late.socket(), second.socket());
             group.next().submit(call::cancel).get();
@@ -184,4 +194,77 @@
             assertNotSame(first.socket(), host.call().socket());
         }
     }
+
+    private static String answer(String status, String header, String body) {
+        return "HTTP/1.1 " + status + "\r\n" + header + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** A destination that counts calls takes several messages in one; each has a fate of its own. */
+    @Test
+    void aBundleIsOneCallWhoseAnswerTellsEachFate() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            call(pool, host.port(), part("a", "k\"", LONG, 2), part("b", null, LONG, 3), part("c", null, LONG, 0),
+                part("d", null, LONG, 1), part("e", null, LONG, 1), part("f", null, LONG, 1));
+            Host.Call call = host.call();
+            assertEquals("POST /v1/messages:batch HTTP/1.1", call.head().get(0));
+            assertTrue(call.body().startsWith("[{\"id\":\"a\",\"key\":\"k\\\"\",\"body\":\"AAA=\"},"
+                + "{\"id\":\"b\",\"body\":\"AAAA\"},{\"id\":\"c\",\"body\":\"\"},"), call.body());
+            call.answer(answer("200 OK", "Retry-After: 0.5\r\n", "[{\"id\":\"b\",\"state\":\"fault\"},"
+                + "{\"id\":\"a\",\"state\":\"accepted\"},{\"id\":\"c\",\"state\":\"deferred\"},"
+                + "{\"id\":\"d\",\"state\":\"expired\"},{\"id\":\"e\",\"state\":\"no_more\"}]"));
+            List<Outcome> outcomes = List.of(Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.NOT_SENT,
+                Outcome.NOT_SENT, Outcome.ERROR);
+            List<Boolean> over = List.of(true, false, false, true, false, false);
+            for (int i = 0; i < outcomes.size(); i++) {
+                HostPool.Reply reply = reply();
+                assertEquals(outcomes.get(i), reply.outcome());
+                assertEquals(over.get(i), reply.over());
+                assertEquals(500_000, reply.waitFor());
+            }
+            call(pool, host.port(), LONG, 10);
+            assertSame(call.socket(), host.call().socket());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"429 Too Many Requests, '', FULL", "500 Internal Server Error, '', ERROR", "200 OK, nonsense, ERROR",
+        "200 OK, '{}', ERROR", "200 OK, '[{\"id\":\"a\"}]', ERROR"})
+    void aBundleSharesTheFateOfItsCall(String status, String body, Outcome outcome) throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), part("a", null, LONG, 2), part("b", null, LONG, 2));
+            host.call().answer(answer(status, "", body));
+            assertEquals(outcome, reply().outcome());
+            assertEquals(outcome, reply().outcome());
+        }
+    }
+
+    /** Guards against a fate that was never told: the head alone says nothing of a bundle's messages. */
+    @Test
+    void aBundleWhoseAnswerBreaksOffMayHaveRun() throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), part("a", null, LONG, 2), part("b", null, LONG, 2));
+            Host.Call call = host.call();
+            call.answer("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n[{\"id\":\"a\",");
+            call.socket().close();
+            assertEquals(Outcome.RESET, reply().outcome());
+            assertEquals(Outcome.RESET, reply().outcome());
+        }
+    }
+
+    /** Guards the others in a bundle: giving up one message must not give up their call. */
+    @Test
+    void oneMessageOfABundleIsCalledOffAlone() throws Exception {
+        try (Host host = new Host()) {
+            HostPool.Part first = part("a", null, LONG, 2);
+            call(pool(KEEP_ALIVE), host.port(), first, part("b", null, LONG, 2));
+            Host.Call call = host.call();
+            group.next().submit(first::cancel).get();
+            assertEquals(Outcome.CANCELLED, reply().outcome());
+            call.answer(answer("200 OK", "", "[{\"id\":\"a\",\"state\":\"accepted\"},"
+                + "{\"id\":\"b\",\"state\":\"accepted\"}]"));
+            assertEquals(Outcome.OK, reply().outcome());
+            assertTrue(replies.isEmpty());
+        }
+    }
 }
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -66,6 +66,29 @@
         }
     }
 
+    /** Guards destinations that count calls: what one turn sends to a host of such a kind travels as one. */
+    @Test
+    void messagesThatWaitedGoOutTogetherWhereTheKindTakesBundles() throws Exception {
+        try (Node relay = platform.relay(host("s-1", "m3", host.port(), 7, "ready"));
+                var client = new Platform.Client(relay)) {
+            for (String id : List.of("a", "b", "c")) {
+                assertEquals(TAKEN, client.post(id, "bill", 7, 16_000).get(0));
+            }
+            Host.Call first = host.call();
+            assertEquals("a", first.header("X-Request-ID"));
+            first.answer(Host.OK);
+            Host.Call bundle = host.call();
+            assertEquals("POST /v1/messages:batch HTTP/1.1", bundle.head().get(0));
+            assertTrue(bundle.body().contains("\"id\":\"b\",\"key\":\"key-b\""), bundle.body());
+            assertTrue(bundle.body().contains("\"id\":\"c\",\"key\":\"key-c\""), bundle.body());
+            String states = "[{\"id\":\"b\",\"state\":\"accepted\"},{\"id\":\"c\",\"state\":\"accepted\"}]";
+            bundle.answer("HTTP/1.1 200 OK\r\nContent-Length: " + states.length() + "\r\n\r\n" + states);
+            awaitClosedJournal(relay);
+            assertTrue(host.quiet());
+        }
+        assertTrue(platform.notices.isEmpty(), "delivered, so no notice");
+    }
+
     @Test
     void healthIsToldAndBadRequestsAreTurnedAwayAndNotWrittenDown() throws Exception {
         try (Node relay = relay()) {
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -58,26 +58,30 @@
     }
 
     static String host(String name, int port, int block, String health) {
-        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + port + "\",\"site\":\"a\",\"class\":\"m2\",\"block\":"
-            + block + ",\"health\":\"" + health + "\",\"share\":50,\"born_ms\":0}";
+        return host(name, "m2", port, block, health);
+    }
+
+    static String host(String name, String kind, int port, int block, String health) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + port + "\",\"site\":\"a\",\"class\":\"" + kind
+            + "\",\"block\":" + block + ",\"health\":\"" + health + "\",\"share\":50,\"born_ms\":0}";
     }
 
     static String list(int version, boolean whole, String... hosts) {
         return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", hosts) + "]}";
     }
 
-    /** Starts a relay that knows these hosts; classes: bill (keyed), pay (unsafe). */
+    /** Starts a relay that knows these hosts; classes: bill (keyed), pay (unsafe); m3 takes two messages a call. */
     Node relay(String... hosts) throws Exception {
         Path file = folder.resolve("config.json");
         Path state = Files.createDirectories(folder.resolve("state"));
         Files.writeString(file, """
             {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
              "limits":{"sockets":1024,"disk_mb":3},"known":%s,
-             "settings":{"rank":0,"balancers":1,"zone":0,"localities":["a","b"],"kinds":["m1","m2"],
+             "settings":{"rank":0,"balancers":1,"zone":0,"localities":["a","b"],"kinds":["m1","m2","m3"],
               "weights":"rough","novel":[1],
               "allowed":{"cancel":true,"second-copies":false,"connect-timeout":800,"keepalive":15000,"most-tries":12,
                "open-cap":4,"max-streams":1,"retry-after":true,"max-retry-after":3000},
-              "family-info":{"call-slots":8,"kind-apart":[true,true],"bundle-max":[1,1]},
+              "family-info":{"call-slots":8,"kind-apart":[true,true,true],"bundle-max":[1,1,2]},
               "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
               "profiles":[{"name":"bill","aim":2000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
