Count a message's time from 300 ms before its request was read

Evidence: each message was traced by its key from hand-in to end. None was left without an end; but those read by a relay in the second after its start were given up 12.3 to 12.9 s after their client had sent them, against 12 s allowed and 0.3 s of slack. The event loop then stood still for up to 511 ms at a time (CPU at its limit of 0.5 core while the JVM loads classes). X-Timeout-Ms counts from when the client sent the request (Server.message counted from reading it).

A client waits 400 ms for its answer, so what is taken on was under way no longer than that.

--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -38,6 +38,8 @@
     private static final long REQUEST_WITHIN = 2_200;
     /** ms; a longer time for a message is taken for a mistake. */
     private static final long TIME_MOST = 3_600_000;
+    /** ms; a client hears of its message at most 400 ms after sending it, and an end may come 300 ms late. */
+    private static final long ON_THE_WAY = 300;
 
     private final Loop loop;
     private final int mostClients;
@@ -167,8 +169,15 @@
         String tenant = text(headers, "X-Tenant-Id", ID_MOST, false);
         return new Message(text(headers, "X-Request-ID", ID_MOST, true), name,
             tenant == null ? 0 : loop.tenant(tenant), text(headers, "X-Route-Key", KEY_MOST, false), key,
-            destination,
-            System.currentTimeMillis() + time, ByteBufUtil.getBytes(request.content()));
+            destination, deadline(System.currentTimeMillis(), time), ByteBufUtil.getBytes(request.content()));
+    }
+
+    /**
+     * When a message's time is up, in Unix time. Its client counts from when it sent the request, which may
+     * have waited for a busy relay to read it, so that is taken off; of a short time no more than a quarter.
+     */
+    static long deadline(long readAt, long time) {
+        return readAt + time - Math.min(ON_THE_WAY, time / 4);
     }
 
     private static String text(HttpHeaders headers, String name, int most, boolean needed) throws Bad {
--- /dev/null
+++ b/src/test/java/wrenkeel/net/ServerTest.java
@@ -0,0 +1,28 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ServerTest {
+    /** ms; how long a client waits to hear that its message is taken on, and how late an end may come. */
+    private static final long CLIENT_WAITS = 400, END_SLACK = 300;
+
+    /** Guards against an end that comes too late: the request may have waited to be read as long as its client did. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 2_000, 12_000, 28_000})
+    void aMessageEndsInItsClientsTimeThoughItWasReadLate(long time) {
+        long sent = 1_000_000;
+        long deadline = Server.deadline(sent + CLIENT_WAITS, time);
+        assertTrue(deadline <= sent + time + END_SLACK / 2, "leaves the notice half of the slack");
+        assertTrue(deadline >= sent + time / 2, "leaves the message most of its time");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 40, 340})
+    void aShortTimeIsNotUsedUp(long time) {
+        long deadline = Server.deadline(1_000_000, time);
+        assertTrue(deadline > 1_000_000 + time / 2 && deadline <= 1_000_000 + time);
+    }
+}
