Give messages back only once all events of a turn are taken in

Control.accept shed a message as soon as the hold was full, though a later event of the same turn could end that very message or make room.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -134,6 +134,10 @@
         for (Event event : events) {
             take(Objects.requireNonNull(event, "event"));
         }
+        // Only now: what the turn tells of later may have made room, or have ended the message given back.
+        for (int over = open - set.allowed().open(); over >= 0; over--) {
+            shed();
+        }
         runAgenda();
         dispatch();
         arm();
@@ -187,9 +191,6 @@
         } else if (m.key == null || m.key.line.peekFirst() == m) {
             enqueue(m, false);
         }
-        if (open >= set.allowed().open()) {
-            shed();
-        }
     }
 
     /** An attempt made before a restart; one that was out then may have run. */
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -251,6 +251,16 @@
             actions.stream().filter(Refuse.class::isInstance).map(a -> ((Refuse) a).id()).toList());
     }
 
+    /** Guards against a refusal that the same turn makes needless, and a second end of a message that it ends. */
+    @Test
+    void aFullHoldGivesNothingBackIfTheTurnMakesRoom() {
+        Bench b = new Bench(settings(1, true, 2, 8, 5));
+        Accepted first = b.message(0, 9);
+        b.turn(first, b.message(0, 9), b.message(0, 9), b.message(0, 9));
+        assertEquals(0, count(b.turn(b.message(0, 9), new Withdrawn(first.id())), Refuse.class));
+        assertEquals(1, count(b.turn(b.message(0, 9)), Refuse.class));
+    }
+
     /** Found on merkez-atolye: one failing zone sent the whole of a shared destination to trials. */
     @Test
     void aFailingEndpointDoesNotStopItsSibling() {
