Learn from a bundle's fate once, not once for each of its messages

Now that bundles travel, one refused call of twenty messages halved the window twenty times, cut the pace twenty times and counted twenty failures in a row; one call with an error confirmed an outage. Control.observe learned from each Ended, though the messages of a call share one fate.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -616,6 +616,11 @@
         int kind = a.route.kind;
         // A bundle's answer may carry a wait whatever became of this message.
         lane.waitUntil = Math.max(lane.waitUntil, now + e.waitFor());
+        // The messages of a bundle share one fate, which tells no more than that of a single one.
+        if (a.call.learned == e.outcome()) {
+            return;
+        }
+        a.call.learned = e.outcome();
         if (a.again && (e.outcome() == Outcome.OK || e.outcome() == Outcome.FULL)) {
             eases[kind] += EASE_WEIGHT * ((e.outcome() == Outcome.OK ? 1 : 0) - eases[kind]);
         }
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -84,6 +84,8 @@
     /** What holds one slot: one message, or a bundle. */
     static final class Call {
         int open, size;
+        /** The latest outcome that was learned from it. */
+        Relay.Outcome learned;
     }
 
     /** Messages that share a key, in the order in which they were taken. */
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -213,6 +213,48 @@
         assertEquals(1, sends(plain.turn(plain.message(1, 1), plain.message(1, 1))).size());
     }
 
+    private static List<Event> bundle(Bench b, int messages, Outcome outcome) {
+        List<Event> all = new ArrayList<>();
+        for (int i = 0; i < messages; i++) {
+            all.add(b.message(1, 1));
+        }
+        List<Event> ended = new ArrayList<>();
+        for (Send s : sends(b.turn(all))) {
+            ended.add(ended(s, 0, outcome));
+        }
+        assertEquals(messages, ended.size());
+        return ended;
+    }
+
+    /** Guards against one refused call that shuts the window as many would: its messages share one fate. */
+    @Test
+    void aRefusedBundleHalvesTheWindowOnce() {
+        Bench b = new Bench(settings(8, false, 2));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 2, 1, 50))));
+        b.warmUp(10, 1);
+        b.turn(bundle(b, 6, Outcome.FULL));
+        List<Send> again = List.of();
+        for (int i = 0; i < 300 && again.isEmpty(); i++) {
+            again = sends(b.pass(10 * MS));
+        }
+        assertEquals(6, again.size(), "all six go out again, as one call");
+        int calls = 1;
+        for (int i = 0; i < 5; i++) {
+            calls += sends(b.pass(15 * MS)).size() + sends(b.turn(b.message(1, 1))).size();
+        }
+        assertEquals(3, calls, "half of a window of six");
+    }
+
+    @Test
+    void aFailedBundleIsOneFailure() {
+        Bench b = new Bench(settings(8, false, 2));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 2, 1, 50))));
+        b.warmUp(10, 1);
+        List<Event> ended = bundle(b, 6, Outcome.ERROR);
+        b.now += SECOND;
+        assertEquals(0, count(b.turn(ended), Log.class), "no outage after a single failed call");
+    }
+
     @Test
     void attemptsAreLimited() {
         Bench b = new Bench(settings(8, true, 2, 2, 200));
