Keep a message that is withdrawn in its turn until that turn is carried out

A client leaves after 400 ms, so a stalled relay finds the connection closed when it answers 202. Loop.withdraw then dropped the message at once (forget), and Loop.send, a few lines on in the same turn, returned without a word for a message it no longer knew: the module waited for that outcome for ever. Each withdrawal took a slot and a call of the destination's window until none was left.

--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -388,11 +388,16 @@
         forget(h);
     }
 
-    /** The module may still name a message until the last of its calls has ended. */
+    /**
+     * The module may name a message until the last of its calls has ended. One that is over while a turn
+     * is carried out is kept until that is done: it may hold a send of it, whose end the module must hear.
+     */
     private void forget(Held h) {
-        if (h.over && h.out == 0) {
-            held.remove(h.message.id(), h);
-        }
+        loop.execute(() -> {
+            if (h.over && h.out == 0) {
+                held.remove(h.message.id(), h);
+            }
+        });
     }
 
     private void close(Journal.Entry entry) {
--- /dev/null
+++ b/src/test/java/wrenkeel/net/LoopTest.java
@@ -0,0 +1,123 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What drives the module, with a host and clients that the test plays. What one task does, one pass of the loop has read. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class LoopTest {
+    @TempDir
+    Path folder;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop thread = group.next();
+    private final List<String> answers = new ArrayList<>();
+    private Platform platform;
+    private Host host;
+    private Journal journal;
+    private Loop loop;
+
+    @BeforeEach
+    void begin() throws Exception {
+        platform = new Platform(folder);
+        host = new Host();
+        Config config = platform.config(Platform.host("s-1", host.port(), 7, "ready"));
+        journal = new Journal(config.state(), config.diskBytes(), 12);
+        Bootstrap calls = new Bootstrap().group(thread);
+        inOnePass(() -> {
+            HostList hosts = new HostList(config.zones(), config.kinds());
+            loop = new Loop(thread, config, hosts, new HostPool(thread, calls, 1_000_000, 15_000_000), journal,
+                (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
+                    whenNoticed));
+            loop.start(config.known());
+        });
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+        journal.close();
+        host.close();
+        platform.close();
+    }
+
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    private void inOnePass(Task task) throws Exception {
+        thread.submit(() -> {
+            task.run();
+            return null;
+        }).get();
+    }
+
+    /** Waits until all that the passes so far have asked for is done. */
+    private void settle() throws Exception {
+        inOnePass(() -> { });
+    }
+
+    private static Message message(String id) {
+        return new Message(id, "bill", 0, null, "key-" + id, 7, System.currentTimeMillis() + 60_000, new byte[3]);
+    }
+
+    private Loop.Answer client(String name, Runnable whenTaken) {
+        return new Loop.Answer() {
+            @Override
+            public void taken() {
+                answers.add(name + " taken");
+                whenTaken.run();
+            }
+
+            @Override
+            public void refused(long retryAfter) {
+                answers.add(name + " refused");
+            }
+
+            @Override
+            public void failed() {
+                answers.add(name + " failed");
+            }
+        };
+    }
+
+    private Loop.Answer client(String name) {
+        return client(name, () -> { });
+    }
+
+    @Test
+    void aMessageHandedInTwiceIsTakenOnOnce() throws Exception {
+        inOnePass(() -> {
+            loop.accept(message("a"), client("first"));
+            loop.accept(message("a"), client("second"));
+        });
+        settle();
+        assertEquals(List.of("first taken", "second taken"), answers);
+        assertEquals(1, journal.owed().size());
+    }
+
+    /** Guards the slots: the module has sent a message in the very turn in which its client turns out to have left. */
+    @Test
+    void aClientThatLeftDoesNotCostASlot() throws Exception {
+        for (int i = 0; i < 20; i++) {
+            String id = "left-" + i;
+            inOnePass(() -> loop.accept(message(id), client(id, () -> loop.withdraw(id))));
+            settle();
+        }
+        inOnePass(() -> loop.accept(message("a"), client("stays")));
+        assertEquals("a", host.call().header("X-Request-ID"));
+        assertTrue(host.quiet());
+    }
+}
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -72,6 +72,10 @@
 
     /** Starts a relay that knows these hosts; classes: bill (keyed), pay (unsafe); m3 takes two messages a call. */
     Node relay(String... hosts) throws Exception {
+        return new Node(config(hosts));
+    }
+
+    Config config(String... hosts) throws Exception {
         Path file = folder.resolve("config.json");
         Path state = Files.createDirectories(folder.resolve("state"));
         Files.writeString(file, """
@@ -86,7 +90,7 @@
               "profiles":[{"name":"bill","aim":2000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
             """.formatted(agent.getAddress().getPort(), list(1, true, hosts)));
-        return new Node(Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString())));
+        return Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString()));
     }
 
     Path journal() {
