Decide once all sockets that are ready have been read

Loop.accept ran a turn, with its sends, for each request as it was read, while answers that had come in meanwhile stood unread in other sockets.

The turn now runs when the pass over the ready sockets is done, as it did already for all other events. Messages read in one pass are decided together. At the orderly end, clients' connections are closed behind that turn.

--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -152,8 +152,14 @@
     }
 
     // ---- Clients --------------------------------------------------------------------------------
-    /** A message is handed in; it is answered before this returns. */
+    /**
+     * A message is handed in; the turn that follows answers it. The turn waits until all sockets that are
+     * ready have been read: an answer among them may tell to wait, or that the message's host is full.
+     */
     void accept(Message message, Answer answer) {
+        if (unanswered.containsKey(message.id())) {
+            turn();
+        }
         Held known = held.get(message.id());
         if (known != null && !known.over) {
             // A client sends a request once more when its connection closed as it wrote: it is held already.
@@ -169,7 +175,6 @@
         open++;
         unanswered.put(message.id(), answer);
         tell(accepted(message, List.of()));
-        turn();
     }
 
     /**
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -107,7 +107,8 @@
             Thread.sleep(SERVE_ON);
             thread.submit(() -> {
                 listener.close();
-                server.closeClients();
+                // Behind the turn that answers what has just been read.
+                return thread.submit(server::closeClients);
             }).get();
             while (System.nanoTime() < by && !idle()) {
                 Thread.sleep(LOOK);
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -63,10 +63,7 @@
         leaving = true;
     }
 
-    /**
-     * Closes the connections that clients keep; each has had its answer, for requests are answered as they
-     * come.
-     */
+    /** Closes the connections that clients keep; each must have had its answer. */
     void closeClients() {
         List.copyOf(clients).forEach(Channel::close);
     }
--- a/src/test/java/wrenkeel/net/LoopTest.java
+++ b/src/test/java/wrenkeel/net/LoopTest.java
@@ -97,6 +97,18 @@
         return client(name, () -> { });
     }
 
+    /** Guards the rule on waits: an answer that stands unread in another socket is heard before anything is sent. */
+    @Test
+    void nothingIsDecidedBeforeAllThatIsReadyHasBeenRead() throws Exception {
+        inOnePass(() -> {
+            loop.accept(message("a"), client("first"));
+            loop.accept(message("b"), client("second"));
+            assertEquals(List.of(), answers);
+        });
+        settle();
+        assertEquals(List.of("first taken", "second taken"), answers);
+    }
+
     @Test
     void aMessageHandedInTwiceIsTakenOnOnce() throws Exception {
         inOnePass(() -> {
