Hear SIGHUP: read the configuration anew and go on at its discovery address

Nothing in the program listened for it, so it ended the process; nor could discovery move, for its address was fixed when the connections were made (Discovery.Line).

Hangup hears the signal; Node reads the file's discovery address; Discovery closes its two connections and asks and posts at the new address what was under way. A file that is of no use is logged and changes nothing.

--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -56,6 +56,16 @@
         }
     }
 
+    /** Where the configuration file says that discovery is; after a reload it overrides the environment. */
+    static InetSocketAddress discovery(Map<String, String> env) throws Unusable {
+        String file = env.get("EDGE_CONFIG");
+        try {
+            return address(Wire.decode(Files.readString(Path.of(file))).text("discovery"));
+        } catch (IOException e) {
+            throw new Unusable("cannot read configuration " + file + ": " + e);
+        }
+    }
+
     private static Path folder(String name) throws Unusable {
         Path folder = Path.of(name);
         if (!Files.isDirectory(folder) || !Files.isWritable(folder)) {
--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -93,6 +93,12 @@
         });
     }
 
+    /** Goes on at another address; what is under way at the old one is asked or posted there again. */
+    void moveTo(InetSocketAddress agent) {
+        watch.moveTo(agent);
+        reports.moveTo(agent);
+    }
+
     /** Once until the watch works again: it asks many times a second. */
     private void complain(String fault, RuntimeException cause) {
         if (!silent) {
@@ -162,7 +168,7 @@
     /** One kept connection to the agent, which carries one request at a time. */
     private final class Line {
         private final Bootstrap bootstrap;
-        private final InetSocketAddress agent;
+        private InetSocketAddress agent;
         private Channel channel;
         private Consumer<FullHttpResponse> waiting;
         private Future<?> timer;
@@ -207,6 +213,16 @@
             }
         }
 
+        void moveTo(InetSocketAddress next) {
+            agent = next;
+            Channel old = channel;
+            channel = null;
+            if (old != null) {
+                old.close();
+            }
+            answered(null, null);
+        }
+
         private void write(Channel to, FullHttpRequest request) {
             to.writeAndFlush(request).addListener(done -> {
                 if (!done.isSuccess()) {
@@ -219,7 +235,7 @@
             if (from != channel || waiting == null) {
                 return;
             }
-            if (answer == null || !HttpUtil.isKeepAlive(answer)) {
+            if (from != null && (answer == null || !HttpUtil.isKeepAlive(answer))) {
                 channel = null;
                 from.close();
             }
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -147,6 +148,10 @@
         stopped = true;
     }
 
+    void discoveryAt(InetSocketAddress agent) {
+        discovery.moveTo(agent);
+    }
+
     boolean idle() {
         return open == 0 && !discovery.noticesLeft();
     }
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -53,6 +53,7 @@
         try {
             Node node = new Node(Config.read(env));
             Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leave"));
+            Hangup.whenHeard(() -> node.reload(env));
             node.left.await();
             return 0;
         } catch (Config.Unusable e) {
@@ -63,10 +64,23 @@
             System.err.println("cannot start: " + e.getCause());
         } catch (InterruptedException e) {
             System.err.println("interrupted at the start");
+        } catch (ReflectiveOperationException e) {
+            System.err.println("cannot listen for SIGHUP: " + e);
         }
         return 2;
     }
 
+    /** Reads the configuration anew: discovery may have moved. One that is of no use changes nothing. */
+    void reload(Map<String, String> env) {
+        try {
+            InetSocketAddress discovery = Config.discovery(env);
+            LOG.info("configuration read anew, discovery is at {}", discovery);
+            thread.execute(() -> loop.discoveryAt(discovery));
+        } catch (Config.Unusable e) {
+            LOG.error("not reloaded: {}", e.getMessage());
+        }
+    }
+
     private ChannelFuture begin(Config config) throws Wire.Malformed {
         Bootstrap calls = new Bootstrap().group(thread)
             .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -255,6 +255,38 @@
         }
     }
 
+    /** Guards against a relay that goes on listening to an agent that has been taken away. */
+    @Test
+    void afterAReloadTheNewAddressTellsTheListAndGetsTheNotices() throws Exception {
+        Path elsewhere = Files.createDirectories(folder.resolve("elsewhere"));
+        try (Host other = new Host(); Platform next = new Platform(elsewhere); Node relay = relay();
+                var client = new Platform.Client(relay)) {
+            next.config(host("s-1", host.port(), 7, "ready"));
+            next.changes.add(list(2, false, host("s-1", host.port(), 7, "gone"), host("s-2", other.port(), 7, "ready")));
+            next.changes.add(list(3, false));
+            relay.reload(next.env());
+            while (!next.changes.isEmpty()) {
+                Thread.sleep(5);
+            }
+            assertEquals(TAKEN, client.post("a", "bill", 7, 600).get(0));
+            assertEquals("a", other.call().header("X-Request-ID"));
+            assertEquals("{\"message\":\"a\",\"outcome\":\"given_up\"}", next.notice());
+            awaitClosedJournal(relay);
+        }
+        assertTrue(platform.notices.isEmpty());
+    }
+
+    @Test
+    void aReloadOfAnUnusableConfigurationChangesNothing() throws Exception {
+        Path bad = Files.writeString(folder.resolve("bad.json"), "{\"discovery\":\"nowhere\"}");
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            relay.reload(Map.of("EDGE_CONFIG", bad.toString()));
+            relay.reload(Map.of("EDGE_CONFIG", folder.resolve("absent").toString()));
+            assertEquals(TAKEN, client.post("a", "bill", 7, 300).get(0));
+            assertEquals("{\"message\":\"a\",\"outcome\":\"given_up\"}", platform.notice());
+        }
+    }
+
     /** Guards the orderly end: clients are answered and turned away, and what is out is finished first. */
     @Test
     void atTheOrderlyEndClientsAreServedAndCallsFinished() throws Exception {
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -77,7 +77,7 @@
 
     Config config(String... hosts) throws Exception {
         Path file = folder.resolve("config.json");
-        Path state = Files.createDirectories(folder.resolve("state"));
+        Files.createDirectories(folder.resolve("state"));
         Files.writeString(file, """
             {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
              "limits":{"sockets":1024,"disk_mb":3},"known":%s,
@@ -90,7 +90,12 @@
               "profiles":[{"name":"bill","aim":2000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
             """.formatted(agent.getAddress().getPort(), list(1, true, hosts)));
-        return Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", state.toString()));
+        return Config.read(env());
+    }
+
+    Map<String, String> env() {
+        return Map.of("EDGE_CONFIG", folder.resolve("config.json").toString(),
+            "EDGE_STATE", folder.resolve("state").toString());
     }
 
     Path journal() {
