--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -44,6 +44,8 @@
         Journal.Entry entry;
         boolean over;
         int out;
+        /** Clients that have been told that it is taken on, less those that are known not to have heard. */
+        int told;
 
         Held(Message message, Journal.Entry entry) {
             this.message = message;
@@ -110,6 +112,7 @@
     /** The deadline passes into the module's clock; earlier attempts keep their distance from now. */
     private void recover(Journal.Entry entry) {
         Held h = new Held(entry.message, entry);
+        h.told = 1;
         held.put(h.message.id(), h);
         open++;
         List<Relay.Earlier> earlier = new ArrayList<>();
@@ -168,6 +171,7 @@
         Held known = held.get(message.id());
         if (known != null && !known.over) {
             // A client sends a request once more when its connection closed as it wrote: it is held already.
+            known.told++;
             answer.taken();
             return;
         }
@@ -183,12 +187,12 @@
     }
 
     /**
-     * The client did not hear that its message was taken on: it hands it in anew, this one counts for
-     * nothing.
+     * A client did not hear that its message was taken on: it hands it in anew, and this one counts for
+     * nothing, unless it was handed in twice and another client heard.
      */
     void withdraw(String id) {
         Held h = held.get(id);
-        if (h != null && !h.over) {
+        if (h != null && !h.over && --h.told == 0) {
             LOG.info("message {} withdrawn, its client left before the answer", id);
             over(h);
             close(h.entry);
@@ -268,6 +272,7 @@
             if (h.entry == null) {
                 refuse(id, unanswered.get(id));
             } else {
+                h.told++;
                 unanswered.remove(id).taken();
             }
         }
--- a/src/test/java/wrenkeel/net/LoopTest.java
+++ b/src/test/java/wrenkeel/net/LoopTest.java
@@ -120,6 +120,19 @@
         assertEquals(1, journal.owed().size());
     }
 
+    /** Guards against a lost message: whoever names its id again and leaves must not take it from its client. */
+    @Test
+    void aMessageThatOneClientHeardOfIsNotWithdrawnByAnother() throws Exception {
+        inOnePass(() -> {
+            loop.accept(message("a"), client("first"));
+            loop.accept(message("a"), client("second", () -> loop.withdraw("a")));
+        });
+        settle();
+        assertEquals(1, journal.owed().size());
+        inOnePass(() -> loop.withdraw("a"));
+        assertEquals(0, journal.owed().size(), "in the end nobody heard");
+    }
+
     /** Guards the slots: the module has sent a message in the very turn in which its client turns out to have left. */
     @Test
     void aClientThatLeftDoesNotCostASlot() throws Exception {
