Learn a pace from refusals where no rate is listed

Evidence, from a dump once a second: the failed messages (174 of 222 given up at one relay) were for one destination of kind `large`, refused 21 of 29 calls there while 150 to 228 messages waited. The other relay had 41 of its 73 calls admitted in the same time with next to nothing waiting: it sent a call for every few messages, used up the shared limit, and the first backed off ever longer. Lane.pace should have slowed both, but the site lists no rates: the pace started at 1e6 calls a second and paceLeast held it at 250,000 (half of an unlisted "rate" of 1e6, between two relays).

Where no rate is listed, the pace now starts from what the relay itself sent of late when it is refused, falls to the slowest pace at most, and grows by 0.2 calls a second with each answer. Sites that list rates are as before.

Ruled out: outages (the destination answered all along), the slots (4 of 19 in use).

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -47,6 +47,8 @@
         PACE_START = 2;
     /** Calls a second: pace where no rate is listed (none); slowest pace (less would be a ban); no rate. */
     private static final double UNPACED = 1e6, PACE_SLOWEST = 0.25, RATE_LEAST = 1e-6;
+    /** us; span over which a lane's own calls are counted. */
+    private static final long PACE_SPAN = 3 * SECOND;
     /** s; a lane may send this much of its pace at once. */
     private static final double PACE_BURST = 0.7;
     /** Share of the limit left below which the pace gives way, and the pace's steps. */
@@ -520,6 +522,7 @@
             slotsUsed++;
             r.dest.calls++;
             r.lane.bucket.tokens--;
+            r.lane.mark(now, PACE_SPAN);
             if (!r.idle.isEmpty() && r.idle.peekLast() < now - trusts[r.kind]) {
                 drop(r);
             }
@@ -692,11 +695,20 @@
     }
 
     private double paceLeast(Lane lane) {
-        return Math.max(PACE_SLOWEST, PACE_LEAST * listedRate(lane) / set.relays());
+        return set.weights() == Weights.NONE ? PACE_SLOWEST
+            : Math.max(PACE_SLOWEST, PACE_LEAST * listedRate(lane) / set.relays());
+    }
+
+    /** What an answer adds to the pace. */
+    private double paceStep(Lane lane) {
+        return PACE_GROW * (set.weights() == Weights.NONE ? 1 : paceLeast(lane));
     }
 
     private void refused(Lane lane, long told, Attempt a) {
-        lane.pace = Math.max(paceLeast(lane), lane.pace * PACE_CUT);
+        // Where no rate is listed, it is first met at a refusal: what was sent of late was too much.
+        boolean listed = set.weights() != Weights.NONE;
+        double met = listed ? lane.pace : Math.min(lane.pace, lane.rate(now, PACE_SPAN));
+        lane.pace = Math.max(paceLeast(lane), met * PACE_CUT);
         Dest d = a.route.dest;
         if (a.sent >= d.refusedAt) {
             d.refusals++;
@@ -730,7 +742,7 @@
         Lane lane = r.lane;
         r.dest.refusals = 0;
         if (lane.bucket.tokens < 1 && lane.pace < paceMost(lane)) {
-            lane.pace = Math.min(paceMost(lane), lane.pace + PACE_GROW * paceLeast(lane));
+            lane.pace = Math.min(paceMost(lane), lane.pace + paceStep(lane));
         }
         r.lastOk = now;
         r.lastOkSent = Math.max(r.lastOkSent, a.sent);
@@ -889,7 +901,8 @@
         r.dest.shared = apart ? r.dest.shared : r.lane;
         if (r.lane.pace == 0) {
             r.lane.weight = p.weight();
-            r.lane.pace = PACE_START * paceLeast(r.lane) / PACE_LEAST;
+            r.lane.pace = set.weights() == Weights.NONE ? UNPACED
+                : PACE_START * paceLeast(r.lane) / PACE_LEAST;
         }
         // A new endpoint is cold, and the messages held for a failing destination would all go there at once.
         if (!r.dest.routes.isEmpty() && !sound(r.dest)) {
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -145,6 +145,19 @@
         final Bucket bucket = new Bucket();
         double weight, pace;
         long waitUntil, backoffUntil;
+        private double calls;
+        private long calledAt;
+
+        /** Counts a call into the rate over an exponential span. */
+        void mark(long now, long span) {
+            calls = calls * Math.exp((double) (calledAt - now) / span) + 1;
+            calledAt = now;
+        }
+
+        /** Calls a second of late. */
+        double rate(long now, long span) {
+            return calls * Math.exp((double) (calledAt - now) / span) * 1e6 / span;
+        }
     }
 
     /** One endpoint: its standing, health and connections. */
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -255,6 +255,45 @@
         assertEquals(0, count(b.turn(ended), Log.class), "no outage after a single failed call");
     }
 
+    /** Guards a limit shared with other relays: where no rate is listed, refusals teach one, and bundles fill up. */
+    @Test
+    void whereNoRateIsListedRefusalsTeachAPace() {
+        Settings s = settings(8, false, 2);
+        Bench b = new Bench(new Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(),
+            Weights.NONE, s.classes(), s.tenants(), s.kinds(), s.allowed(), s.rules(), s.prices()));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 2, 1, 1))));
+        // The destination takes two calls a second, and eight messages come in; an answer takes 20 ms.
+        List<Long> admitted = new ArrayList<>();
+        List<List<Event>> answers = new ArrayList<>();
+        int calls = 0, refused = 0, delivered = 0;
+        for (int step = 0; step < 8_000; step++) {
+            b.now += 5 * MS;
+            List<Event> events = new ArrayList<>(step < 4 ? List.of() : answers.get(step - 4));
+            if (step % 25 == 0) {
+                events.add(b.message(1, 1));
+            }
+            List<Send> call = events.isEmpty() && b.wakeAt > b.now ? List.of() : sends(b.turn(events));
+            List<Event> ended = new ArrayList<>();
+            if (!call.isEmpty()) {
+                admitted.removeIf(at -> at <= b.now - SECOND);
+                boolean full = admitted.size() >= 2;
+                calls++;
+                refused += full ? 1 : 0;
+                delivered += full ? 0 : call.size();
+                if (!full) {
+                    admitted.add(b.now);
+                }
+                for (Send send : call) {
+                    ended.add(ended(send, b.checker.messages.get(send.id()).sends.size() - 1,
+                        full ? Outcome.FULL : Outcome.OK));
+                }
+            }
+            answers.add(ended);
+        }
+        assertTrue(refused * 3 < calls, refused + " of " + calls + " calls refused");
+        assertTrue(delivered > 300, "nearly all of 320 delivered: " + delivered);
+    }
+
     @Test
     void attemptsAreLimited() {
         Bench b = new Bench(settings(8, true, 2, 2, 200));
