Measure a young lane's rate over its own age

The pace met at a refusal was counted over three seconds even if the first call went out half a second before (Lane.rate), so the first refusal set a sixth of what had been sent, which grows back by 0.2 a second with each answer only.

--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -146,17 +146,19 @@
         double weight, pace;
         long waitUntil, backoffUntil;
         private double calls;
-        private long calledAt;
+        private long calledAt, firstAt = -1;
 
         /** Counts a call into the rate over an exponential span. */
         void mark(long now, long span) {
             calls = calls * Math.exp((double) (calledAt - now) / span) + 1;
             calledAt = now;
+            firstAt = firstAt < 0 ? now : firstAt;
         }
 
-        /** Calls a second of late. */
+        /** Calls a second of late, of a lane that may be younger than the span. */
         double rate(long now, long span) {
-            return calls * Math.exp((double) (calledAt - now) / span) * 1e6 / span;
+            double counted = calls * Math.exp((double) (calledAt - now) / span);
+            return counted * 1e6 / (span * -Math.expm1(-(double) Math.max(1, now - firstAt) / span));
         }
     }
 
