--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -29,6 +29,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -184,7 +185,7 @@
     /** Begins one call that carries these parts. */
     void call(HostList.Host host, List<Part> parts) {
         Pool pool = pool(host);
-        Call call = new Call(host, List.copyOf(parts), pool);
+        Call call = new Call(host, new ArrayList<>(parts), pool);
         for (Part part : call.parts) {
             part.timer = loop.schedule(part::giveUp, part.patience, TimeUnit.MICROSECONDS);
         }
@@ -291,6 +292,8 @@
             answered = false;
             keep = true;
             next.channel = channel;
+            // The module has been told that these never ran, while the connection was not yet up.
+            next.parts.removeIf(part -> part.ended);
             states = null;
             pool.connecting.remove(next);
             // The promise of a write is kept when its last byte has been handed to the socket: from then on
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -252,6 +252,26 @@
         }
     }
 
+    /** Guards against a message that goes out after it was given up, with what shared its connection. */
+    @Test
+    void aMessageGivenUpBeforeItsConnectionIsUpDoesNotGoOut() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            HostPool.Part first = part("a", null, LONG, 2);
+            listed.dial = new InetSocketAddress(Platform.LOOPBACK, host.port());
+            group.next().submit(() -> {
+                pool.call(listed, List.of(first, part("b", null, LONG, 2)));
+                first.cancel();
+            }).get();
+            Host.Call call = host.call();
+            assertEquals("POST /v1/messages HTTP/1.1", call.head().get(0));
+            assertEquals("b", call.header("X-Request-ID"));
+            assertEquals(Outcome.CANCELLED, reply().outcome());
+            call.answer(Host.OK);
+            assertEquals(Outcome.OK, reply().outcome());
+        }
+    }
+
     /** Guards the others in a bundle: giving up one message must not give up their call. */
     @Test
     void oneMessageOfABundleIsCalledOffAlone() throws Exception {
