Keep a learned pace no slower than what comes in, in full bundles

Evidence: no withdrawals, no faults, 0.46 attempts a request: the partner had been shut before, when few calls are made; a refusal then met a pace of that few (Control.refused), which grows by 0.2 a second with each answer, far below what came in. The pace now falls no lower than the messages that come in, in full bundles.

The test delivers 58 of 128 without the change.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -708,8 +708,10 @@
         // Where no rate is listed, it is first met at a refusal: what was sent of late was too much.
         boolean listed = set.weights() != Weights.NONE;
         double met = listed ? lane.pace : Math.min(lane.pace, lane.rate(now, PACE_SPAN));
-        lane.pace = Math.max(paceLeast(lane), met * PACE_CUT);
         Dest d = a.route.dest;
+        // No slower than what comes in, in full bundles: else it is the pace that makes messages late.
+        double comesIn = listed ? 0 : d.usualRate / set.kinds().get(a.route.kind).bundle();
+        lane.pace = Math.max(Math.max(paceLeast(lane), comesIn), met * PACE_CUT);
         if (a.sent >= d.refusedAt) {
             d.refusals++;
         }
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -294,6 +294,33 @@
         assertTrue(delivered > 300, "nearly all of 320 delivered: " + delivered);
     }
 
+    /** Guards a partner that was shut for a while: few calls are made then, which says nothing of its limit. */
+    @Test
+    void aPaceMetWhileShutDoesNotHoldBackWhatComesIn() {
+        Settings s = settings(8, false, 2);
+        Bench b = new Bench(new Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(),
+            Weights.NONE, s.classes(), s.tenants(), s.kinds(), s.allowed(), s.rules(), s.prices()));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 0, 1, 1))));
+        List<List<Event>> answers = new ArrayList<>();
+        int delivered = 0;
+        for (int step = 0; step < 3_200; step++) {
+            b.now += 5 * MS;
+            List<Event> events = new ArrayList<>(step < 4 ? List.of() : answers.get(step - 4));
+            if (step % 25 == 0) {
+                events.add(b.message(1, 1));
+            }
+            boolean shut = step >= 1_200 && step < 2_000;
+            List<Event> ended = new ArrayList<>();
+            for (Send send : events.isEmpty() && b.wakeAt > b.now ? List.<Send>of() : sends(b.turn(events))) {
+                delivered += shut ? 0 : 1;
+                ended.add(ended(send, b.checker.messages.get(send.id()).sends.size() - 1,
+                    shut ? Outcome.FULL : Outcome.OK));
+            }
+            answers.add(ended);
+        }
+        assertTrue(delivered > 110, "of 128 that came in: " + delivered);
+    }
+
     @Test
     void attemptsAreLimited() {
         Bench b = new Bench(settings(8, true, 2, 2, 200));
