--- a/deploy/Training.java
+++ b/deploy/Training.java
@@ -27,7 +27,7 @@
 final class Training {
     private static final int MESSAGES = 120;
     private static final String CONFIG = """
-        {"listen":"127.0.0.1:0","discovery":"127.0.0.1:%1$d","limits":{"sockets":384,"disk_mb":3},
+        {"listen":"127.0.0.1:0","console":"127.0.0.1:0","discovery":"127.0.0.1:%1$d","limits":{"sockets":384,"disk_mb":3},
          "known":{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:%1$d","site":"z","class":"k","block":0,
           "health":"ready","share":1.0,"born_ms":0},{"host":"b","dial":"127.0.0.1:%1$d","site":"z","class":"k","block":0,
           "health":"ready","share":1.0,"born_ms":0}]},
@@ -39,6 +39,7 @@
           "profiles":[{"name":"c","aim":1000,"hard-limit":2000,"semantics":"dedup","window":7500,"late-worth":0.5}]}}
         """;
     private static final Pattern SERVING = Pattern.compile("serving on \\S*:(\\d+)"),
+        CONSOLE = Pattern.compile("operators at \\S*:(\\d+)"),
         ID = Pattern.compile("\"id\":\"([^\"]*)\"");
     private static final AtomicInteger CALLS = new AtomicInteger();
 
@@ -85,6 +86,11 @@
     private static void exercise(Process relay) throws IOException, InterruptedException {
         BufferedReader log = new BufferedReader(new InputStreamReader(relay.getInputStream(), StandardCharsets.UTF_8));
         for (String line = log.readLine(); line != null; line = log.readLine()) {
+            Matcher console = CONSOLE.matcher(line);
+            if (console.find()) {
+                ask(Integer.parseInt(console.group(1)), "ready");
+                ask(Integer.parseInt(console.group(1)), "telemetry");
+            }
             Matcher serving = SERVING.matcher(line);
             if (serving.find()) {
                 for (int i = 0; i < MESSAGES; i++) {
@@ -96,6 +102,13 @@
         }
     }
 
+    private static void ask(int port, String call) throws IOException {
+        URI uri = URI.create("http://127.0.0.1:" + port + "/api/" + call);
+        HttpURLConnection operator = (HttpURLConnection) uri.toURL().openConnection();
+        operator.getResponseCode();
+        operator.disconnect();
+    }
+
     /** Most messages are well formed and are delivered at once, in bundles, after a refusal, or not at all. */
     private static void handIn(int port, int i) throws IOException {
         URI uri = URI.create("http://127.0.0.1:" + port + (i % 10 == 9 ? "/other" : "/c"));
--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -146,6 +146,16 @@
         return out;
     }
 
+    /** How many listed endpoints get nothing now: draining, failing, told or chosen to wait. */
+    public int unavailable(long time) {
+        int count = 0;
+        for (Route r : routes.values()) {
+            boolean listed = r.dest.routes.get(r.id) == r;
+            count += listed && (!r.ready || r.health == Health.OUT || closedUntil(r) > time) ? 1 : 0;
+        }
+        return count;
+    }
+
     private void take(Event event) {
         if (event instanceof Accepted e) {
             accept(e);
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Callers.java
@@ -0,0 +1,67 @@
+package wrenkeel.net;
+
+import io.netty.channel.Channel;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The connections to one server, at most so many of them. One thread. */
+final class Callers {
+    private final int most;
+    private final Set<Channel> all = new HashSet<>();
+    /** Those with no request that awaits its answer, the one quiet for the longest first. */
+    private final Set<Channel> quiet = new LinkedHashSet<>();
+
+    Callers(int most) {
+        this.most = most;
+    }
+
+    /**
+     * One more has connected. When all places are taken, the one quiet for the longest gives way:
+     * a crowd that only holds connections must not keep out who has something to say.
+     */
+    void connected(Channel channel) {
+        if (all.size() >= most) {
+            Iterator<Channel> longest = quiet.iterator();
+            (longest.hasNext() ? longest.next() : channel).close();
+        }
+        if (channel.isActive()) {
+            all.add(channel);
+        }
+    }
+
+    void gone(Channel channel) {
+        all.remove(channel);
+        quiet.remove(channel);
+    }
+
+    /** It owes the next request, or more of it. */
+    void awaited(Channel channel) {
+        quiet.remove(channel);
+        if (all.contains(channel)) {
+            quiet.add(channel);
+        }
+    }
+
+    /** It has sent bytes. */
+    void heard(Channel channel) {
+        if (quiet.remove(channel)) {
+            quiet.add(channel);
+        }
+    }
+
+    /** Its request is whole and must have its answer. */
+    void asked(Channel channel) {
+        quiet.remove(channel);
+    }
+
+    int size() {
+        return all.size();
+    }
+
+    void closeAll() {
+        List.copyOf(all).forEach(Channel::close);
+    }
+}
--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -14,10 +14,10 @@
 /**
  * What the platform tells one relay at its start. {@code zones} and {@code kinds} hold the names that
  * discovery's list uses, in the order of the numbers that the module knows them by; {@code known} is the list
- * as last had.
+ * as last had; {@code console} is null where operators have no address.
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed, int sockets,
-              long diskBytes, Relay.Settings settings, List<String> zones, List<String> kinds,
+record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress console, Path state,
+              long seed, int sockets, long diskBytes, Relay.Settings settings, List<String> zones, List<String> kinds,
               Wire.Fields known) {
 
     /** us; taken off a key's window besides: for the way to the host. */
@@ -46,7 +46,8 @@
             return new Config(
                 address(env.getOrDefault("EDGE_LISTEN", all.text("listen", ""))),
                 address(env.getOrDefault("EDGE_DISCOVERY", all.text("discovery", ""))),
-                folder(state), seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
+                console(env.getOrDefault("EDGE_CONSOLE", all.text("console", null))), folder(state),
+                seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
                 (long) (limits.number("disk_mb", 3) * 1_000_000), usable(Wire.settings(settings)),
                 names(settings, "localities"), names(settings, "kinds"), all.object("known"));
         } catch (Wire.Malformed e) {
@@ -66,6 +67,10 @@
         }
     }
 
+    private static InetSocketAddress console(String text) throws Unusable {
+        return text == null ? null : address(text);
+    }
+
     private static Path folder(String name) throws Unusable {
         Path folder = Path.of(name);
         if (!Files.isDirectory(folder) || !Files.isWritable(folder)) {
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Console.java
@@ -0,0 +1,128 @@
+package wrenkeel.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The operators' door: says whether this process serves, and its figures. It has a thread and connections of
+ * its own, so that neither a busy relay nor a crowd of clients keeps an operator waiting.
+ */
+final class Console implements AutoCloseable {
+    /** Connections at once: operators' tools make one call at a time, and some callers only hold theirs. */
+    static final int CALLERS = 16;
+    private static final Logger LOG = LoggerFactory.getLogger(Console.class);
+    /** ms in which a call must have come; bytes that one may have. */
+    private static final long CALL_WITHIN = 2_000;
+    private static final int CALL_MOST = 4_096;
+
+    private final MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Channel listener;
+
+    Console(InetSocketAddress address, BooleanSupplier ready, Figures figures) throws InterruptedException {
+        Callers callers = new Callers(CALLERS);
+        ServerBootstrap bootstrap = new ServerBootstrap().group(group)
+            .channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpServerCodec(),
+                        new HttpObjectAggregator(CALL_MOST, true),
+                        new RequestDeadline(callers, CALL_WITHIN), new Calls(ready, figures));
+                }
+            });
+        listener = bootstrap.bind(address).sync().channel();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
+    private static final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final BooleanSupplier ready;
+        private final Figures figures;
+
+        Calls(BooleanSupplier ready, Figures figures) {
+            this.ready = ready;
+            this.figures = figures;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (!context.channel().isActive()) {
+                // What stood behind the one call that a connection carries.
+                return;
+            }
+            String path = request.uri().split("\\?", 2)[0];
+            if (request.decoderResult().isFailure()) {
+                respond(context, HttpResponseStatus.BAD_REQUEST, text("malformed call"));
+            } else if (!path.equals("/api/ready") && !path.equals("/api/telemetry")) {
+                respond(context, HttpResponseStatus.NOT_FOUND, text("unknown call"));
+            } else if (!request.method().equals(HttpMethod.GET)) {
+                respond(context, HttpResponseStatus.METHOD_NOT_ALLOWED, text("only GET"));
+            } else if (path.equals("/api/telemetry")) {
+                respond(context, HttpResponseStatus.OK, Unpooled.wrappedBuffer(figures.json()));
+            } else if (ready.getAsBoolean()) {
+                respond(context, HttpResponseStatus.OK, text("{\"ready\":true}"));
+            } else {
+                respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE, text("{\"ready\":false}"));
+            }
+        }
+
+        private static ByteBuf text(String text) {
+            return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+        }
+
+        private static void respond(ChannelHandlerContext context, HttpResponseStatus status, ByteBuf body) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            if (status.equals(HttpResponseStatus.OK)) {
+                response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            }
+            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                LOG.error("connection of an operator closed", cause);
+            }
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Figures.java
@@ -0,0 +1,101 @@
+package wrenkeel.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+
+/** The operators' figures: counts since this process began. Any thread may read them. */
+final class Figures {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** How the messages of one class ended. */
+    private static final class Ends {
+        final AtomicLong completed = new AtomicLong();
+        final AtomicLong rejected = new AtomicLong();
+        final AtomicLong failed = new AtomicLong();
+    }
+
+    /** What stands at one moment, rather than being counted. */
+    private record Standing(int pending, int members, int unavailable) { }
+
+    private final Map<String, Ends> classes = new ConcurrentSkipListMap<>();
+    private final AtomicLong upstreamRequests = new AtomicLong();
+    private final AtomicLong reloads = new AtomicLong();
+    private final AtomicLong reloadErrors = new AtomicLong();
+    private volatile Standing standing = new Standing(0, 0, 0);
+
+    /** These classes are in force; those of earlier settings stay, for their messages may yet end. */
+    void inForce(Collection<String> names) {
+        names.forEach(this::ends);
+    }
+
+    private Ends ends(String messageClass) {
+        return classes.computeIfAbsent(messageClass, name -> new Ends());
+    }
+
+    void completed(String messageClass) {
+        ends(messageClass).completed.incrementAndGet();
+    }
+
+    void rejected(String messageClass) {
+        ends(messageClass).rejected.incrementAndGet();
+    }
+
+    void failed(String messageClass) {
+        ends(messageClass).failed.incrementAndGet();
+    }
+
+    /** The last byte of a call with so many messages has been written. */
+    void sent(int messages) {
+        upstreamRequests.addAndGet(messages);
+    }
+
+    void reloaded() {
+        reloads.incrementAndGet();
+    }
+
+    void reloadFailed() {
+        reloadErrors.incrementAndGet();
+    }
+
+    /** {@code pending}: taken and not ended; {@code members}: listed endpoints, and those avoided now. */
+    void stands(int pending, int members, int unavailable) {
+        standing = new Standing(pending, members, unavailable);
+    }
+
+    byte[] json() {
+        Standing now = standing;
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(text)) {
+            out.writeStartObject();
+            byClass(out, "completed", ends -> ends.completed);
+            byClass(out, "rejected", ends -> ends.rejected);
+            byClass(out, "failed", ends -> ends.failed);
+            out.writeNumberField("upstream_requests", upstreamRequests.get());
+            out.writeNumberField("pending", now.pending);
+            out.writeNumberField("members", now.members);
+            out.writeNumberField("members_unavailable", now.unavailable);
+            out.writeNumberField("config_reloads", reloads.get());
+            out.writeNumberField("config_reload_errors", reloadErrors.get());
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("an array of bytes cannot fail to be written", e);
+        }
+        return text.toByteArray();
+    }
+
+    private void byClass(JsonGenerator out, String name, Function<Ends, AtomicLong> count)
+        throws IOException {
+        out.writeObjectFieldStart(name);
+        for (Map.Entry<String, Ends> entry : classes.entrySet()) {
+            out.writeNumberField(entry.getKey(), count.apply(entry.getValue()).get());
+        }
+        out.writeEndObject();
+    }
+}
--- a/src/main/java/wrenkeel/net/HostList.java
+++ b/src/main/java/wrenkeel/net/HostList.java
@@ -28,11 +28,18 @@
         int kind;
         long destination;
         boolean ready;
+        /** Named by the list as it stands, ready or draining. */
+        boolean listed;
 
         Host(long number, String name) {
             this.number = number;
             this.name = name;
         }
+
+        private void leave() {
+            ready = false;
+            listed = false;
+        }
     }
 
     private final List<String> zones;
@@ -56,6 +63,11 @@
         return byNumber.get(number);
     }
 
+    /** How many hosts the list names now. */
+    int listed() {
+        return (int) byNumber.values().stream().filter(host -> host.listed).count();
+    }
+
     /** All hosts ever named. */
     Collection<Host> hosts() {
         return byNumber.values();
@@ -81,7 +93,7 @@
             }
         }
         if (whole) {
-            byNumber.values().stream().filter(h -> !named.contains(h)).forEach(h -> h.ready = false);
+            byNumber.values().stream().filter(h -> !named.contains(h)).forEach(Host::leave);
         }
         version = next;
         return new Relay.Listed(whole ? Relay.ListKind.WHOLE : Relay.ListKind.CHANGES, endpoints);
@@ -112,12 +124,13 @@
             byNumber.put(host.number, host);
         }
         host.ready = listing == Relay.Listing.READY;
+        host.listed = listing != Relay.Listing.GONE;
         if (listing != Relay.Listing.GONE) {
             try {
                 host.dial = Config.address(entry.text("dial"));
             } catch (Config.Unusable e) {
                 LOG.warn("list entry of host {} left out: {}", name, e.getMessage());
-                host.ready = false;
+                host.leave();
                 listing = Relay.Listing.GONE;
             }
             host.zone = zone;
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -160,10 +160,12 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final long idleLimit;
+    private final Figures figures;
     private final Map<Long, Pool> pools = new HashMap<>();
 
-    HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive) {
+    HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive, Figures figures) {
         this.loop = loop;
+        this.figures = figures;
         long millis = keepAlive / 1_000;
         this.idleLimit = TimeUnit.MILLISECONDS.toNanos(Math.max(millis / 2, millis - IDLE_MARGIN));
         this.bootstrap = bootstrap.clone(loop).channel(NioSocketChannel.class)
@@ -296,11 +298,14 @@
             next.parts.removeIf(part -> part.ended);
             states = null;
             pool.connecting.remove(next);
+            int messages = next.parts.size();
             // The promise of a write is kept when its last byte has been handed to the socket: from then on
             // the call may run, before that it cannot.
             channel.writeAndFlush(request(next)).addListener(done -> {
                 next.written = done.isSuccess();
-                if (!done.isSuccess()) {
+                if (done.isSuccess()) {
+                    figures.sent(messages);
+                } else {
                     channel.close();
                 }
             });
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -101,6 +101,11 @@
         return List.copyOf(entries.values());
     }
 
+    /** How many messages something is owed for. */
+    int size() {
+        return entries.size();
+    }
+
     /** Writes a message down; null if there is no room for it until its end. */
     Entry take(Message message) throws IOException {
         Entry entry = new Entry(last + 1, message);
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -25,6 +25,8 @@
     /** us; told to a client that is turned away before the module has seen its message. */
     private static final long COME_BACK = 1_000_000;
     private static final long AFTER_FAULT = 100_000;
+    /** ms between looks at what stands rather than is counted. */
+    private static final long STAND = 100;
 
     /**
      * How a message handed in was met. A client that could not be told must be reported to {@link #withdraw}.
@@ -60,6 +62,7 @@
     private final HostPool pool;
     private final Journal journal;
     private final Discovery discovery;
+    private final Figures figures;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Held> held = new HashMap<>();
     private List<Relay.Event> events = new ArrayList<>();
@@ -71,17 +74,20 @@
     private boolean stopped;
     private int open;
 
-    Loop(EventLoop loop, Config config, HostList hosts, HostPool pool, Journal journal, Agent agent) {
+    Loop(EventLoop loop, Config config, HostList hosts, HostPool pool, Journal journal, Figures figures,
+         Agent agent) {
         this.loop = loop;
         this.settings = config.settings();
         this.control = new Control(config.seed(), settings);
         this.hosts = hosts;
         this.pool = pool;
         this.journal = journal;
-        this.discovery = agent.open(this::listed, this::close);
+        this.figures = figures;
+        this.discovery = agent.open(this::listed, this::noticed);
         for (int i = 0; i < settings.classes().size(); i++) {
             classes.put(settings.classes().get(i).name(), i);
         }
+        figures.inForce(classes.keySet());
     }
 
     /** Makes the link to discovery, given what it is to call. */
@@ -107,6 +113,11 @@
         }
         turn();
         discovery.watch();
+        loop.scheduleWithFixedDelay(this::stand, 0, STAND, TimeUnit.MILLISECONDS);
+    }
+
+    private void stand() {
+        figures.stands(journal.size(), hosts.listed(), control.unavailable(now()));
     }
 
     /** The deadline passes into the module's clock; earlier attempts keep their distance from now. */
@@ -176,6 +187,7 @@
             return;
         }
         if (known != null || open >= settings.allowed().open()) {
+            figures.rejected(message.messageClass());
             answer.refused(COME_BACK);
             return;
         }
@@ -255,10 +267,14 @@
     private void answer(List<Relay.Action> actions) {
         for (Relay.Action action : unanswered.isEmpty() ? List.<Relay.Action>of() : actions) {
             if (action instanceof Relay.Refuse a && unanswered.containsKey(a.id())) {
-                over(held.get(a.id()));
+                Held h = held.get(a.id());
+                over(h);
+                figures.rejected(h.message.messageClass());
                 unanswered.remove(a.id()).refused(a.retryAfter());
             } else if (action instanceof Relay.Fail a && unanswered.containsKey(a.id())) {
-                over(held.get(a.id()));
+                Held h = held.get(a.id());
+                over(h);
+                figures.failed(h.message.messageClass());
                 unanswered.remove(a.id()).failed();
             }
         }
@@ -280,7 +296,9 @@
 
     private void refuse(String id, Answer answer) {
         unanswered.remove(id);
-        over(held.get(id));
+        Held h = held.get(id);
+        over(h);
+        figures.rejected(h.message.messageClass());
         tell(new Relay.Withdrawn(id));
         answer.refused(COME_BACK);
     }
@@ -360,6 +378,12 @@
             if (reply.over()) {
                 over(h);
                 close(h.entry);
+                if (reply.outcome() == Relay.Outcome.OK) {
+                    figures.completed(h.message.messageClass());
+                } else {
+                    // Its time was up before the host heard of it.
+                    figures.failed(h.message.messageClass());
+                }
             } else if (reply.outcome().neverRan()) {
                 notRun(h, attempt);
             }
@@ -415,6 +439,16 @@
         });
     }
 
+    /** The platform has the end of a message. */
+    private void noticed(Journal.Entry entry) {
+        if (entry.end.handedBack()) {
+            figures.rejected(entry.message.messageClass());
+        } else {
+            figures.failed(entry.message.messageClass());
+        }
+        close(entry);
+    }
+
     private void close(Journal.Entry entry) {
         try {
             journal.closed(entry);
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -34,6 +34,9 @@
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop thread = group.next();
     private final CountDownLatch left = new CountDownLatch(1);
+    private final Figures figures = new Figures();
+    private final Console console;
+    private volatile boolean serving;
     private final Journal journal;
     private Loop loop;
     private Server server;
@@ -41,10 +44,15 @@
 
     /** Takes up what the journal holds, and serves. */
     Node(Config config) throws IOException, InterruptedException, ExecutionException {
+        console = config.console() == null ? null : new Console(config.console(), () -> serving, figures);
         journal = new Journal(config.state(), config.diskBytes(), config.settings().allowed().attempts());
         ChannelFuture bound = thread.submit(() -> begin(config)).get();
         listener = bound.channel();
         bound.get();
+        serving = true;
+        if (console != null) {
+            LOG.info("operators at {}", consoleAddress());
+        }
         LOG.info("serving on {}, {} messages taken up", address(), journal.owed().size());
     }
 
@@ -59,7 +67,7 @@
         } catch (Config.Unusable e) {
             System.err.println(e.getMessage());
         } catch (IOException e) {
-            System.err.println("cannot open the journal: " + e);
+            System.err.println("cannot start: " + e);
         } catch (ExecutionException e) {
             System.err.println("cannot start: " + e.getCause());
         } catch (InterruptedException e) {
@@ -74,9 +82,11 @@
     void reload(Map<String, String> env) {
         try {
             InetSocketAddress discovery = Config.discovery(env);
+            figures.reloaded();
             LOG.info("configuration read anew, discovery is at {}", discovery);
             thread.execute(() -> loop.discoveryAt(discovery));
         } catch (Config.Unusable e) {
+            figures.reloadFailed();
             LOG.error("not reloaded: {}", e.getMessage());
         }
     }
@@ -86,12 +96,12 @@
             .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
         HostList hosts = new HostList(config.zones(), config.kinds());
         HostPool pool = new HostPool(thread, calls, config.settings().allowed().connectTimeout(),
-            config.settings().allowed().keepAlive());
-        loop = new Loop(thread, config, hosts, pool, journal,
+            config.settings().allowed().keepAlive(), figures);
+        loop = new Loop(thread, config, hosts, pool, journal, figures,
             (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                 whenNoticed));
         loop.start(config.known());
-        server = new Server(loop, config.sockets() / 2);
+        server = new Server(loop, new Callers(config.sockets() / 3));
         ServerBootstrap bootstrap = new ServerBootstrap().group(thread, thread)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
@@ -105,6 +115,11 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /** The address that operators connect to. */
+    InetSocketAddress consoleAddress() {
+        return console.address();
+    }
+
     /** True when nothing is owed any more. */
     boolean idle() throws InterruptedException, ExecutionException {
         return thread.submit(loop::idle).get();
@@ -116,6 +131,7 @@
      */
     void leave() {
         long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LEAVE_BY);
+        serving = false;
         try {
             thread.execute(server::leave);
             Thread.sleep(SERVE_ON);
@@ -134,7 +150,6 @@
     }
 
     /** The abrupt end: what is owed stays in the journal. */
-
     @Override
     public void close() {
         thread.submit(loop::stop).awaitUninterruptibly();
@@ -144,6 +159,9 @@
         } catch (IOException e) {
             LOG.error("journal not closed", e);
         }
+        if (console != null) {
+            console.close();
+        }
         left.countDown();
     }
 }
--- a/src/main/java/wrenkeel/net/RequestDeadline.java
+++ b/src/main/java/wrenkeel/net/RequestDeadline.java
@@ -9,19 +9,23 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Closes a client's connection that has brought no whole request for a while, from connecting or from the
- * last answer. Bytes alone do not put it off: a peer that trickles holds a descriptor as a silent one does.
+ * Closes a caller's connection that has brought no whole request for a while, from connecting or from the
+ * last answer, and tells the callers' register which connections owe a request. Bytes alone do not put the
+ * end off: a peer that trickles holds a descriptor as a silent one does.
  */
 final class RequestDeadline extends ChannelDuplexHandler {
+    private final Callers callers;
     private final long millis;
     private Future<?> timer;
 
-    RequestDeadline(long millis) {
+    RequestDeadline(Callers callers, long millis) {
+        this.callers = callers;
         this.millis = millis;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
+        callers.connected(context.channel());
         start(context);
         context.fireChannelActive();
     }
@@ -30,10 +34,18 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof FullHttpRequest) {
             stop();
+            callers.asked(context.channel());
         }
         context.fireChannelRead(message);
     }
 
+    /** Comes after bytes too that do not yet make a request. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        callers.heard(context.channel());
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         if (message instanceof LastHttpContent) {
@@ -45,12 +57,16 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         stop();
+        callers.gone(context.channel());
         context.fireChannelInactive();
     }
 
     private void start(ChannelHandlerContext context) {
         stop();
-        timer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+        callers.awaited(context.channel());
+        if (context.channel().isActive()) {
+            timer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void stop() {
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -22,10 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wrenkeel.Relay;
@@ -42,20 +39,18 @@
     private static final long ON_THE_WAY = 300;
 
     private final Loop loop;
-    private final int mostClients;
-    private final Set<Channel> clients = new HashSet<>();
+    private final Callers clients;
     private boolean leaving;
 
-    /** {@code mostClients}: connections at once; the rest of the descriptors is for hosts and files. */
-    Server(Loop loop, int mostClients) {
+    Server(Loop loop, Callers clients) {
         this.loop = loop;
-        this.mostClients = mostClients;
+        this.clients = clients;
     }
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new Whole(), new RequestDeadline(REQUEST_WITHIN),
-            new Requests());
+        channel.pipeline().addLast(new HttpServerCodec(), new Whole(),
+            new RequestDeadline(clients, REQUEST_WITHIN), new Requests());
     }
 
     /** From now on each answer closes its connection. */
@@ -65,7 +60,7 @@
 
     /** Closes the connections that clients keep; each must have had its answer. */
     void closeClients() {
-        List.copyOf(clients).forEach(Channel::close);
+        clients.closeAll();
     }
 
     /** A request that cannot be served as it stands. */
@@ -98,20 +93,6 @@
     }
 
     private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
-        @Override
-        public void channelActive(ChannelHandlerContext context) {
-            clients.add(context.channel());
-            if (clients.size() > mostClients) {
-                LOG.warn("connection closed: {} clients are connected", mostClients);
-                context.close();
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            clients.remove(context.channel());
-        }
-
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             if (!context.channel().isActive()) {
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -34,7 +34,7 @@
     }
 
     private HostPool pool(long keepAlive) {
-        return new HostPool(group.next(), new Bootstrap().group(group), LONG, keepAlive);
+        return new HostPool(group.next(), new Bootstrap().group(group), LONG, keepAlive, new Figures());
     }
 
     private HostPool.Part part(String id, String key, long patience, int bytes) {
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -80,7 +80,7 @@
         Path file = folder.resolve("config.json");
         Files.createDirectories(folder.resolve("state"));
         Files.writeString(file, """
-            {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
+            {"name":"n0","listen":"127.0.0.1:0","console":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
              "limits":{"sockets":1024,"disk_mb":3},"known":%s,
              "settings":{"rank":0,"balancers":1,"zone":0,"localities":["a","b"],"kinds":["m1","m2","m3"],
               "weights":"rough","novel":[1],
@@ -117,7 +117,11 @@
         private final Socket socket;
 
         Client(Node relay) throws IOException {
-            socket = new Socket(LOOPBACK, relay.address().getPort());
+            this(relay.address());
+        }
+
+        Client(InetSocketAddress address) throws IOException {
+            socket = new Socket(address.getAddress(), address.getPort());
             socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
         }
 
--- a/src/test/java/wrenkeel/net/RequestDeadlineTest.java
+++ b/src/test/java/wrenkeel/net/RequestDeadlineTest.java
@@ -22,7 +22,7 @@
     private static EmbeddedChannel client() {
         EmbeddedChannel channel = new EmbeddedChannel();
         channel.freezeTime();
-        channel.pipeline().addLast(new Server(null, 10));
+        channel.pipeline().addLast(new Server(null, new Callers(10)));
         channel.pipeline().fireChannelActive();
         // The last handler would ask the loop, which is not under test.
         channel.pipeline().removeLast();
