--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -17,8 +17,8 @@
  * as last had; {@code console} is null where operators have no address.
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress console, Path state,
-              long seed, int sockets, long diskBytes, Relay.Settings settings, List<String> zones, List<String> kinds,
-              Wire.Fields known) {
+              long seed, int sockets, long diskBytes, Relay.Settings settings, List<String> zones,
+              List<String> kinds, Wire.Fields known) {
 
     /** us; taken off a key's window besides: for the way to the host. */
     private static final long WINDOW_MARGIN = 100_000;
