--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -30,6 +30,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -161,9 +162,13 @@
     private final Bootstrap bootstrap;
     private final long idleLimit;
     private final Figures figures;
+    private final int most;
     private final Map<Long, Pool> pools = new HashMap<>();
 
-    HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive, Figures figures) {
+    /** {@code most}: connections at once, beyond which ones that carry no call are closed. */
+    HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive, int most,
+             Figures figures) {
+        this.most = most;
         this.loop = loop;
         this.figures = figures;
         long millis = keepAlive / 1_000;
@@ -198,6 +203,7 @@
             }
             c.channel.close();
         }
+        makeRoom();
         pool.connecting.add(call);
         ChannelFuture connect = bootstrap.connect(host.dial);
         call.channel = connect.channel();
@@ -215,6 +221,16 @@
         });
     }
 
+    /** Guards the descriptors: before one more connection, the one idle for the longest goes. */
+    private void makeRoom() {
+        int held = pools.values().stream().mapToInt(pool -> pool.open.size() + pool.connecting.size()).sum();
+        if (held >= most) {
+            pools.values().stream().filter(pool -> !pool.idle.isEmpty())
+                .min(Comparator.comparingLong(pool -> pool.idle.peekFirst().idleSince))
+                .ifPresent(pool -> pool.idle.pollFirst().channel.close());
+        }
+    }
+
     /**
      * Takes back the calls to a host that still wait for their connection. Guards the rules on drains and
      * waits: such a call would go out as soon as the connection is up, long after the host asked for nothing
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -29,6 +29,8 @@
      */
     private static final long SERVE_ON = 600, LEAVE_BY = 3_300;
     private static final long LOOK = 20;
+    /** Connections that wait to be accepted, and that are before those that gave way for them are let go. */
+    private static final int BACKLOG = 512, ACCEPTED_AT_ONCE = 8;
 
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -95,16 +97,18 @@
         Bootstrap calls = new Bootstrap().group(thread)
             .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
         HostList hosts = new HostList(config.zones(), config.kinds());
+        Descriptors descriptors = Descriptors.of(config.sockets(), config.settings().allowed().slots());
         HostPool pool = new HostPool(thread, calls, config.settings().allowed().connectTimeout(),
-            config.settings().allowed().keepAlive(), figures);
+            config.settings().allowed().keepAlive(), descriptors.hosts(), figures);
         loop = new Loop(thread, config, hosts, pool, journal, figures,
             (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                 whenNoticed));
         loop.start(config.known());
-        server = new Server(loop, new Callers(config.sockets() / 3));
+        server = new Server(loop, new Callers(descriptors.clients()));
         ServerBootstrap bootstrap = new ServerBootstrap().group(thread, thread)
             .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
+            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.MAX_MESSAGES_PER_READ, ACCEPTED_AT_ONCE)
             .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .childOption(ChannelOption.TCP_NODELAY, true).childHandler(server);
         return bootstrap.bind(config.listen());
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -34,9 +34,10 @@
     }
 
     private HostPool pool(long keepAlive) {
-        return new HostPool(group.next(), new Bootstrap().group(group), LONG, keepAlive, new Figures());
+        return new HostPool(group.next(), new Bootstrap().group(group), LONG, keepAlive, 100, new Figures());
     }
 
+
     private HostPool.Part part(String id, String key, long patience, int bytes) {
         return new HostPool.Part(new Message(id, "bill", 0, null, key, 7, 0, new byte[bytes]), patience,
             replies::add);
@@ -76,6 +77,24 @@
         }
     }
 
+    /** Guards the descriptors: a connection that carries nothing gives way to one that is needed elsewhere. */
+    @Test
+    void anIdleConnectionIsClosedForOneMoreThanAllowed() throws Exception {
+        try (Host first = new Host(); Host second = new Host()) {
+            HostPool pool = new HostPool(group.next(), new Bootstrap().group(group), LONG, KEEP_ALIVE, 1, new Figures());
+            call(pool, first.port(), LONG, 10);
+            Host.Call idle = first.call();
+            idle.answer(Host.OK);
+            assertEquals(Outcome.OK, reply().outcome());
+            HostList.Host other = new HostList.Host(2, "s-2");
+            other.dial = new InetSocketAddress(Platform.LOOPBACK, second.port());
+            group.next().submit(() -> pool.call(other, List.of(part("b", null, LONG, 10)))).get();
+            assertTrue(first.ended(idle));
+            second.call().answer(Host.OK);
+            assertEquals(Outcome.OK, reply().outcome());
+        }
+    }
+
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
         int port;
