Let each newcomer push out another connection, not one that is already closing

A closed connection left the register only when its end was told, so a crowd that came in one pass pushed out the same one again and again.

--- a/src/main/java/wrenkeel/net/Callers.java
+++ b/src/main/java/wrenkeel/net/Callers.java
@@ -25,7 +25,10 @@
     void connected(Channel channel) {
         if (all.size() >= most) {
             Iterator<Channel> longest = quiet.iterator();
-            (longest.hasNext() ? longest.next() : channel).close();
+            Channel leaves = longest.hasNext() ? longest.next() : channel;
+            // At once: its end is only told later, and the next newcomer must not count on it again.
+            gone(leaves);
+            leaves.close();
         }
         if (channel.isActive()) {
             all.add(channel);
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -29,8 +29,8 @@
      */
     private static final long SERVE_ON = 600, LEAVE_BY = 3_300;
     private static final long LOOK = 20;
-    /** Connections that wait to be accepted, and that are before those that gave way for them are let go. */
-    private static final int BACKLOG = 512, ACCEPTED_AT_ONCE = 8;
+    /** Connections that may wait to be accepted. */
+    private static final int BACKLOG = 512;
 
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -108,7 +108,6 @@
         ServerBootstrap bootstrap = new ServerBootstrap().group(thread, thread)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.MAX_MESSAGES_PER_READ, ACCEPTED_AT_ONCE)
             .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .childOption(ChannelOption.TCP_NODELAY, true).childHandler(server);
         return bootstrap.bind(config.listen());
