--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -108,7 +108,8 @@
     private final PriorityQueue<Entry> agenda = new PriorityQueue<>();
     private List<Action> out = new ArrayList<>();
     private long now, beganAt, seq, turns, wakeAt = NEVER;
-    private int slotsUsed, open, logged;
+    private int slotsUsed, elsewhere, open, logged;
+    private boolean leaving;
 
     /** A relay that knows nothing yet but its settings. */
     public Control(long seed, Settings settings) {
@@ -163,6 +164,15 @@
             attemptEnded(e);
         } else if (event instanceof Listed e) {
             listed(e);
+        } else if (event instanceof Leave) {
+            leaving = true;
+            messages.values().stream().filter(m -> m.queued).toList().forEach(this::pass);
+        } else if (event instanceof Known e) {
+            known(e);
+        } else if (event instanceof Elsewhere e) {
+            elsewhere += e.calls() - dest(e.destination()).elsewhere;
+            dest(e.destination()).elsewhere = e.calls();
+            active.add(dest(e.destination()));
         } else if (event instanceof Withdrawn e && messages.containsKey(e.id())) {
             close(messages.get(e.id()));
         } else if (event instanceof Due && wakeAt <= now) {
@@ -230,6 +240,10 @@
     }
 
     private void enqueue(Msg m, boolean again) {
+        if (leaving) {
+            pass(m);
+            return;
+        }
         if (m.cls.effect() == Effect.KEYED && m.mayHaveRun()) {
             m.band = m.band / 3 * 3 + 2;
         }
@@ -244,6 +258,12 @@
         }
     }
 
+    /** Nothing of it is out: the next process decides from here on, and the next of its key may follow it. */
+    private void pass(Msg m) {
+        out.add(new Pass(m.id));
+        close(m);
+    }
+
     private boolean mayRefuse(Msg m) {
         return m.cls.effect() == Effect.SAFE || !m.mayHaveRun()
             || m.cls.effect() == Effect.KEYED && !m.cls.zoneGroup();
@@ -404,7 +424,7 @@
     /** Sends what may go, best first. What cannot go is looked at again in time, or when something ends. */
     private void dispatch() {
         List<Pick> picks = new ArrayList<>();
-        for (var it = active.iterator(); it.hasNext() && slotsUsed < set.allowed().slots();) {
+        for (var it = active.iterator(); it.hasNext() && slotsUsed < slots();) {
             Pick p = pick(it.next());
             if (p != null) {
                 picks.add(p);
@@ -418,7 +438,7 @@
             if (gate(best.msg, best.route, false) <= now) {
                 send(best.msg, best.route, false);
             }
-            Pick next = slotsUsed < set.allowed().slots() || joins(best.route) ? pick(best.msg.dest) : null;
+            Pick next = slotsUsed < slots() || joins(best.route) ? pick(best.msg.dest) : null;
             if (next != null) {
                 picks.add(next);
             }
@@ -480,6 +500,11 @@
             + points * 100 * COST_POINT + (double) (r.failRun + r.overdue + m.tries(r)) * COST_FAILURE;
     }
 
+    /** Guards the partners' limit on calls at once, which the process before this one may still use. */
+    private int slots() {
+        return set.allowed().slots() - elsewhere;
+    }
+
     private boolean joins(Route r) {
         return r.bundleTurn == turns && r.bundle.size < set.kinds().get(r.kind).bundle();
     }
@@ -494,7 +519,7 @@
             return NEVER;
         }
         boolean joins = joins(r);
-        if (!joins && (slotsUsed >= set.allowed().slots() || r.dest.calls >= room(r.dest))) {
+        if (!joins && (slotsUsed >= slots() || r.dest.calls + r.dest.elsewhere >= room(r.dest))) {
             return NEVER;
         }
         return opens(r, joins);
@@ -581,7 +606,8 @@
             a.route.overdue++;
             m.dest.overdue++;
         }
-        if (m.ended || m.extras >= EXTRAS || m.cls.effect() == Effect.UNSAFE || !set.allowed().copies()) {
+        if (leaving || m.ended || m.extras >= EXTRAS || m.cls.effect() == Effect.UNSAFE
+            || !set.allowed().copies()) {
             return;
         }
         Route choice = null;
@@ -875,6 +901,36 @@
         }
     }
 
+    /** What the next process must know of each listed endpoint, in this clock's time. */
+    public List<Known> knowledge() {
+        return routes.values().stream().map(r -> new Known(r.id, r.lane.waitUntil, closedUntil(r),
+            r.health == Health.OUT, r.health == Health.RETURNING ? r.returnAt : 0, r.lane.pace, r.dest.window,
+            r.latency)).toList();
+    }
+
+    /** Goes on where the process before stood: its waits bind, and what it found out is not tried again. */
+    private void known(Known e) {
+        Route r = routes.get(e.endpoint());
+        if (r == null) {
+            return;
+        }
+        r.lane.waitUntil = Math.max(r.lane.waitUntil, e.waitUntil());
+        r.backoffUntil = Math.max(r.backoffUntil, e.closedUntil());
+        if (e.pace() > 0) {
+            r.lane.pace = Math.min(r.lane.pace, e.pace());
+            r.latency = e.latency();
+            r.dest.latest = Math.max(r.dest.latest, e.latency());
+            r.dest.window = Math.max(r.dest.window, e.window());
+        }
+        if (e.out()) {
+            outage(r, true);
+        } else if (e.returnedAt() != 0) {
+            r.health = Health.RETURNING;
+            r.confirmed = true;
+            r.returnAt = e.returnedAt();
+        }
+    }
+
     // ---- List of endpoints ----------------------------------------------------------------------
     private Dest dest(long id) {
         return dests.computeIfAbsent(id, k -> new Dest(set.classes().size() * 3, ANSWERS));
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -91,6 +91,16 @@
     /** The message was withdrawn; nothing is owed any more. */
     public record Withdrawn(String id) implements Event { }
 
+    /** Another process takes over: whatever is not out is passed on, and nothing more is sent from here. */
+    public record Leave() implements Event { }
+
+    /** What the process before knew of an endpoint. Points in time may lie before this clock began. */
+    public record Known(long endpoint, long waitUntil, long closedUntil, boolean out, long returnedAt,
+                        double pace, double window, double latency) implements Event { }
+
+    /** The process before this one still has so many calls out to a destination. */
+    public record Elsewhere(long destination, int calls) implements Event { }
+
     /** A timer asked for with {@link Wake} is due. */
     public record Due() implements Event { }
 
@@ -106,6 +116,9 @@
     /** Final answer: given up, nothing is promised. */
     public record Fail(String id) implements Action { }
 
+    /** The message is the next process's from here on. */
+    public record Pass(String id) implements Action { }
+
     /** Stop waiting for an attempt. */
     public record Cancel(String id, int attempt) implements Action { }
 
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -198,7 +198,8 @@
         /** Messages a second that come in for it, when the last one came. */
         double usualRate;
         double window = 1, copies = 1, latest, usual;
-        int kind = -1, calls, waiting, overdue, refusals;
+        /** {@code elsewhere}: calls that the process before this one still has out. */
+        int kind = -1, calls, elsewhere, waiting, overdue, refusals;
         long lookAt, refusedAt, backoffUntil;
 
         Dest(int bands, int answers) {
--- a/src/main/java/wrenkeel/net/Callers.java
+++ b/src/main/java/wrenkeel/net/Callers.java
@@ -9,7 +9,7 @@
 
 /** The connections to one server, at most so many of them. One thread. */
 final class Callers {
-    private final int most;
+    private int most;
     private final Set<Channel> all = new HashSet<>();
     /** Those with no request that awaits its answer, the one quiet for the longest first. */
     private final Set<Channel> quiet = new LinkedHashSet<>();
@@ -18,6 +18,16 @@
         this.most = most;
     }
 
+    /** From now on so many; the quietest beyond that leave. */
+    void allow(int connections) {
+        most = connections;
+        while (all.size() > most && !quiet.isEmpty()) {
+            Channel leaves = quiet.iterator().next();
+            gone(leaves);
+            leaves.close();
+        }
+    }
+
     /**
      * One more has connected. When all places are taken, the one quiet for the longest gives way:
      * a crowd that only holds connections must not keep out who has something to say.
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Door.java
@@ -0,0 +1,111 @@
+package wrenkeel.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.NetworkChannel;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The clients' address. Two processes may listen there at once, so that while one takes over from another
+ * there is no moment at which a client finds nobody. Its listening channel runs on one event loop.
+ */
+final class Door implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Door.class);
+    /** Connections that may wait to be accepted. */
+    private static final int BACKLOG = 512;
+    /** ms from leaving the selector until it has let go: a channel that it holds is closed late. */
+    private static final long LET_GO = 20;
+
+    private final NetworkChannel socket;
+    private final EventLoop thread;
+    private final NioServerSocketChannel listener;
+
+    private Door(NetworkChannel socket, EventLoop thread, NioServerSocketChannel listener) {
+        this.socket = socket;
+        this.thread = thread;
+        this.listener = listener;
+    }
+
+    /** Makes sure of the address without listening there: no client is led to this process yet. */
+    static Door reserve(InetSocketAddress address) throws IOException {
+        SocketChannel socket = SocketChannel.open();
+        try {
+            shared(socket).bind(address);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+        return new Door(socket, null, null);
+    }
+
+    /** Listens; each connection gets this handler. To be called on the event loop. */
+    static Door open(InetSocketAddress address, EventLoop thread, ChannelHandler clients) throws IOException {
+        ServerSocketChannel socket = ServerSocketChannel.open();
+        try {
+            shared(socket);
+            socket.bind(address, BACKLOG);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+        NioServerSocketChannel listener = new NioServerSocketChannel(socket);
+        new ServerBootstrap().group(thread, thread).channelFactory(() -> listener)
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(clients).register();
+        return new Door(socket, thread, listener);
+    }
+
+    private static NetworkChannel shared(NetworkChannel socket) throws IOException {
+        return socket.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+            .setOption(StandardSocketOptions.SO_REUSEPORT, true);
+    }
+
+    InetSocketAddress address() {
+        try {
+            return (InetSocketAddress) socket.getLocalAddress();
+        } catch (IOException e) {
+            throw new IllegalStateException("a door that is closed has no address", e);
+        }
+    }
+
+    /** Lets in all who wait at the door, then closes it with nothing in between. */
+    void drain() {
+        listener.deregister().addListener(done -> thread.schedule(() -> {
+            try {
+                ServerSocketChannel last = (ServerSocketChannel) socket;
+                for (SocketChannel client = last.accept(); client != null; client = last.accept()) {
+                    listener.pipeline().fireChannelRead(new NioSocketChannel(listener, client));
+                }
+                last.close();
+            } catch (IOException e) {
+                LOG.error("the door is not closed in order", e);
+            }
+            close();
+        }, LET_GO, TimeUnit.MILLISECONDS));
+    }
+
+    @Override
+    public void close() {
+        try {
+            if (listener == null) {
+                socket.close();
+            } else {
+                listener.close();
+            }
+        } catch (IOException e) {
+            LOG.warn("the clients' address is not given back", e);
+        }
+    }
+}
--- a/src/main/java/wrenkeel/net/HostList.java
+++ b/src/main/java/wrenkeel/net/HostList.java
@@ -63,6 +63,11 @@
         return byNumber.get(number);
     }
 
+    /** The host of this name; null if no list has named it. */
+    Host named(String name) {
+        return byName.get(name);
+    }
+
     /** How many hosts the list names now. */
     int listed() {
         return (int) byNumber.values().stream().filter(host -> host.listed).count();
@@ -99,6 +104,13 @@
         return new Relay.Listed(whole ? Relay.ListKind.WHOLE : Relay.ListKind.CHANGES, endpoints);
     }
 
+    /** A host that another process was told is draining or gone; this one's list is older. */
+    Relay.Listed drain(Host host) {
+        host.ready = false;
+        return new Relay.Listed(Relay.ListKind.CHANGES, List.of(new Relay.Endpoint(host.number, host.zone,
+            host.kind, host.destination, Relay.Listing.DRAINING, 0)));
+    }
+
     /** One entry; null, and a line in the log, for one that cannot be used. The others still count. */
     private Relay.Endpoint endpoint(Wire.Fields entry) throws Wire.Malformed {
         String name = entry.text("host");
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -246,13 +246,24 @@
      * Closes the connections to a host that carry no call; one whose answer is still coming in, after that.
      */
     void closeIdle(HostList.Host host) {
-        for (Connection c : List.copyOf(pool(host).open)) {
+        closeIdle(pool(host));
+    }
+
+    private static void closeIdle(Pool pool) {
+        for (Connection c : List.copyOf(pool.open)) {
             c.keep = false;
             if (c.call == null) {
                 c.channel.close();
             }
         }
-        pool(host).idle.clear();
+        pool.idle.clear();
+    }
+
+    /** Closes all connections that carry no call; the others, once they carry none. */
+    void closeAllIdle() {
+        for (Pool pool : pools.values()) {
+            closeIdle(pool);
+        }
     }
 
     /** How many idle connections to a host are held. */
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -13,15 +13,21 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * What this relay owes, in one append-only file of the lasting folder.
+ * What this relay owes, in one append-only file of the lasting folder, which this process alone writes. What
+ * earlier processes left in theirs is adopted; each message is taken over once, whoever is killed meanwhile.
  *
  * <p>A record is its length (4 bytes), the CRC-32 of its content (4 bytes) and the content: its sort, the
  * number of the message, and what the sort asks for. A tail that does not check is cut off at the start. The
@@ -32,7 +38,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
     private static final int HEAD = 8, RECORD_MOST = 1 << 20;
     /** Bytes kept clear of the limit, for what the file system rounds up. */
-    private static final long CLEAR = 8_192;
+    private static final long CLEAR = 32_768;
     /**
      * Share of the room that live messages may reserve; the rest is for the old file and for growth between
      * rewrites.
@@ -40,7 +46,8 @@
     private static final double LIVE_SHARE = 0.4;
     /** Bytes of a send with its outcome, and of an end with its notice. */
     private static final int ATTEMPT_BYTES = (HEAD + 23) + (HEAD + 11), END_BYTES = (HEAD + 18) + (HEAD + 9);
-    private static final byte TAKEN = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5;
+    private static final byte TAKEN = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5,
+        ORIGIN = 6, ABSORBED = 7, PASSED = 8, WAIT = 9;
 
     /** One send of a message. {@code sent}: Unix time, ms; {@code zone}: its host's. */
     static final class Attempt {
@@ -71,9 +78,14 @@
         }
     }
 
+    private final Tenure tenure;
     private final Path file;
     private final Path fresh;
     private final long room;
+    /** Files of earlier processes, the oldest first, until nothing in them is open. */
+    private final List<Legacy> legacies = new ArrayList<>();
+    /** What was taken over from files that still exist. */
+    private final Set<Origin> adopted = new LinkedHashSet<>();
     private final int mostAttempts;
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
     private FileChannel out;
@@ -82,20 +94,172 @@
     private long size;
     private long reserved;
     private long last;
+    private boolean passing;
 
-    /** Opens the folder's journal and reads what is owed. */
+    /** Begins this process's file; nothing is owed before {@link #adopt}. */
     Journal(Path folder, long limit, int mostAttempts) throws IOException {
-        this.file = folder.resolve("journal");
-        this.fresh = folder.resolve("journal.new");
+        this.tenure = Tenure.begin(folder);
+        this.file = tenure.file("journal");
+        this.fresh = tenure.file("journal.new");
         this.room = limit - CLEAR;
         this.mostAttempts = mostAttempts;
-        Files.deleteIfExists(fresh);
-        if (Files.exists(file)) {
-            load(Files.readAllBytes(file));
+        for (Tenure.Earlier earlier : tenure.earlier()) {
+            legacies.add(new Legacy(earlier));
         }
         rewrite();
     }
 
+    /** True while an earlier process serves: whatever stands in its file is its own. */
+    boolean earlierServes() throws IOException {
+        for (Legacy legacy : legacies) {
+            if (!legacy.earlier.over() && legacy.earlier.knowledge() == null) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** What the process that leaves knew; null if it left nothing. */
+    String knowledge() throws IOException {
+        String latest = null;
+        for (Legacy legacy : legacies) {
+            String knowledge = legacy.earlier.knowledge();
+            latest = knowledge == null ? latest : knowledge;
+        }
+        return latest;
+    }
+
+    /** Tells the process that leaves that this one serves now. */
+    void takenOver() throws IOException {
+        for (Legacy legacy : legacies) {
+            legacy.earlier.heard();
+        }
+    }
+
+    /** True while an earlier process still has a file that may hold something for this one. */
+    boolean hasLegacies() {
+        return !legacies.isEmpty();
+    }
+
+    /** Waits that leaving processes have heard since the last call: until when (Unix time, ms), by host. */
+    Map<String, Long> waits() {
+        Map<String, Long> waits = new HashMap<>();
+        for (Legacy legacy : legacies) {
+            waits.putAll(legacy.waits);
+            legacy.waits.clear();
+        }
+        return waits;
+    }
+
+    /** Messages that processes which leave still have out, by destination. */
+    Map<Long, Integer> outElsewhere() {
+        Map<Long, Integer> out = new HashMap<>();
+        for (Legacy legacy : legacies) {
+            legacy.entries.values().stream().filter(e -> !legacy.passed.contains(e.number))
+                .forEach(e -> out.merge(e.message.destination(), 1, Integer::sum));
+        }
+        return out;
+    }
+
+    /**
+     * Takes over what has been passed on, and all that is open in the file of a process that has ended; that
+     * file is then deleted. Each message that is newly owed is told once.
+     */
+    void adopt(Consumer<Entry> whenOwed) throws IOException {
+        for (Legacy legacy : legacies) {
+            // In this order: after the end nothing more is written, so what is read then is all there is.
+            legacy.ended = legacy.earlier.over();
+            legacy.read();
+        }
+        Set<Long> absorbed = new HashSet<>();
+        for (Legacy legacy : legacies) {
+            adopted.addAll(legacy.adopted);
+            absorbed.addAll(legacy.absorbed);
+        }
+        for (Legacy legacy : List.copyOf(legacies)) {
+            for (Entry entry : List.copyOf(legacy.entries.values())) {
+                if (legacy.ended || legacy.passed.contains(entry.number)) {
+                    Origin origin = new Origin(legacy.number(), entry.number);
+                    if (!absorbed.contains(legacy.number()) && !adopted.contains(origin)) {
+                        whenOwed.accept(adopt(entry, origin));
+                        adopted.add(origin);
+                    }
+                    legacy.entries.remove(entry.number);
+                }
+            }
+            if (legacy.ended) {
+                absorb(legacy);
+            }
+        }
+        adopted.removeIf(origin -> legacies.stream().noneMatch(legacy -> legacy.number() == origin.file));
+    }
+
+    /** Nothing in it is open any more; what it had taken over from files that still exist is kept. */
+    private void absorb(Legacy legacy) throws IOException {
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        for (Origin origin : legacy.adopted) {
+            records.writeBytes(origin(origin));
+        }
+        records.writeBytes(record(ABSORBED, legacy.number(), o -> { }));
+        write(out, records.toByteArray());
+        size = out.position();
+        legacies.remove(legacy);
+        legacy.earlier.delete();
+    }
+
+    /** In one write: a message that is taken over without its attempts could run twice. */
+    private Entry adopt(Entry from, Origin origin) throws IOException {
+        Entry entry = new Entry(++last, from.message);
+        entry.attempts.addAll(from.attempts);
+        entry.end = from.end;
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        records.writeBytes(origin(origin));
+        write(entry, records::writeBytes);
+        write(out, records.toByteArray());
+        size = out.position();
+        entry.reserved = reserve(taken(entry).length);
+        reserved += entry.reserved;
+        entries.put(entry.number, entry);
+        return entry;
+    }
+
+    /** True while a later process stands by to take over. */
+    boolean laterWaits() throws IOException {
+        return tenure.laterWaits();
+    }
+
+    /**
+     * From now on messages are passed on to the later process, which reads this file as it grows: it is
+     * compacted now, for the last time.
+     */
+    void beginPassing() throws IOException {
+        rewrite();
+        passing = true;
+    }
+
+    /** Leaves what this process knows to the later one, which serves once {@link #laterServes}. */
+    void leave(String knowledge) throws IOException {
+        tenure.leave(knowledge);
+    }
+
+    boolean laterServes() {
+        return tenure.laterServes();
+    }
+
+    /** The message is the later process's from here on. */
+    void passed(Entry entry) throws IOException {
+        append(record(PASSED, entry.number, o -> { }));
+        forget(entry.number);
+    }
+
+    /** A host told to wait; the later process must heed it. */
+    void waits(String host, long until) throws IOException {
+        append(record(WAIT, 0, o -> {
+            o.writeLong(until);
+            o.writeUTF(host);
+        }));
+    }
+
     /** The messages that something is owed for, in the order in which they were taken on. */
     Collection<Entry> owed() {
         return List.copyOf(entries.values());
@@ -111,7 +275,7 @@
         Entry entry = new Entry(last + 1, message);
         byte[] record = taken(entry);
         entry.reserved = reserve(record.length);
-        if (reserved + entry.reserved > room * LIVE_SHARE) {
+        if (reserved + entry.reserved > room() * LIVE_SHARE) {
             return null;
         }
         append(record);
@@ -156,12 +320,18 @@
     @Override
     public void close() throws IOException {
         out.close();
+        tenure.close();
     }
 
     private long reserve(int taken) {
         return taken + (long) mostAttempts * ATTEMPT_BYTES + END_BYTES;
     }
 
+    /** Bytes for this file, beside those of earlier processes that still exist. */
+    private long room() {
+        return room - legacies.stream().mapToLong(legacy -> legacy.size).sum();
+    }
+
     private void forget(long number) {
         Entry gone = entries.remove(number);
         reserved -= gone == null ? 0 : gone.reserved;
@@ -169,7 +339,7 @@
 
     // ---- The file -------------------------------------------------------------------------------
     private void append(byte[] record) throws IOException {
-        if (behind || size + record.length + reserved > room) {
+        if (behind || !passing && size + record.length + reserved > room()) {
             rewrite();
         }
         behind = true;
@@ -191,24 +361,36 @@
         }
     }
 
+    private interface Sink {
+        void write(byte[] record) throws IOException;
+    }
+
+    /** All that is known of one message. */
+    private static void write(Entry entry, Sink to) throws IOException {
+        to.write(taken(entry));
+        for (int i = 0; i < entry.attempts.size(); i++) {
+            int attempt = i;
+            to.write(sent(entry, entry.attempts.get(i)));
+            if (!entry.attempts.get(i).mayHaveRun) {
+                to.write(record(NOT_RUN, entry.number, o -> o.writeShort(attempt)));
+            }
+        }
+        if (entry.end != null) {
+            to.write(ended(entry.number, entry.end));
+        }
+    }
+
     /** Writes what is owed to a new file and puts it in the old one's place. */
     private void rewrite() throws IOException {
         FileChannel next = FileChannel.open(fresh, StandardOpenOption.CREATE,
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE);
         try {
+            for (Origin origin : adopted) {
+                write(next, origin(origin));
+            }
             for (Entry entry : entries.values()) {
-                write(next, taken(entry));
-                for (int i = 0; i < entry.attempts.size(); i++) {
-                    int attempt = i;
-                    write(next, sent(entry, entry.attempts.get(i)));
-                    if (!entry.attempts.get(i).mayHaveRun) {
-                        write(next, record(NOT_RUN, entry.number, o -> o.writeShort(attempt)));
-                    }
-                }
-                if (entry.end != null) {
-                    write(next, ended(entry.number, entry.end));
-                }
+                write(entry, record -> write(next, record));
             }
             Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException e) {
@@ -224,41 +406,79 @@
         size = next.position();
     }
 
-    private void load(byte[] all) throws IOException {
-        ByteBuffer in = ByteBuffer.wrap(all);
-        while (in.remaining() >= HEAD) {
-            int length = in.getInt();
-            int check = in.getInt();
-            if (length < 0 || length > RECORD_MOST || length > in.remaining()) {
-                break;
+    /** A message by the file that it was first written to. */
+    private record Origin(long file, long number) { }
+
+    /** The file of an earlier process, read as far as it has been written. */
+    private static final class Legacy {
+        final Tenure.Earlier earlier;
+        final Map<Long, Entry> entries = new LinkedHashMap<>();
+        final Set<Long> passed = new HashSet<>();
+        final Set<Origin> adopted = new HashSet<>();
+        /** Numbers of processes in whose files nothing is open any more. */
+        final Set<Long> absorbed = new HashSet<>();
+        final Map<String, Long> waits = new HashMap<>();
+        boolean ended;
+        long size;
+
+        Legacy(Tenure.Earlier earlier) {
+            this.earlier = earlier;
+        }
+
+        long number() {
+            return earlier.number();
+        }
+
+        /** Reads on; what does not check is still being written, or was cut off by the process's end. */
+        void read() throws IOException {
+            ByteBuffer in = ByteBuffer.wrap(earlier.journalFrom(size));
+            while (in.remaining() >= HEAD) {
+                int length = in.getInt();
+                int check = in.getInt();
+                if (length < 0 || length > RECORD_MOST || length > in.remaining()) {
+                    break;
+                }
+                byte[] content = new byte[length];
+                in.get(content);
+                if (crc(content) != check) {
+                    if (ended) {
+                        LOG.warn("journal cut at a record that does not check, {} bytes dropped",
+                            in.remaining() + length + HEAD);
+                    }
+                    return;
+                }
+                replay(new DataInputStream(new ByteArrayInputStream(content)));
+                size += length + HEAD;
             }
-            byte[] content = new byte[length];
-            in.get(content);
-            if (crc(content) != check) {
-                LOG.warn("journal cut at a record that does not check, {} bytes dropped",
-                    in.remaining() + length + HEAD);
-                return;
+        }
+
+        private void replay(DataInputStream in) throws IOException {
+            byte sort = in.readByte();
+            long number = in.readLong();
+            Entry entry = entries.get(number);
+            switch (sort) {
+                case TAKEN -> entries.put(number, new Entry(number, message(in)));
+                case ORIGIN -> adopted.add(new Origin(in.readLong(), number));
+                case ABSORBED -> absorbed.add(number);
+                case PASSED -> passed.add(number);
+                case WAIT -> {
+                    long until = in.readLong();
+                    waits.put(in.readUTF(), until);
+                }
+                case CLOSED -> entries.remove(number);
+                default -> {
+                    if (entry != null) {
+                        follow(entry, sort, in);
+                    }
+                }
             }
-            replay(new DataInputStream(new ByteArrayInputStream(content)), length + HEAD);
         }
-    }
 
-    private void replay(DataInputStream in, int bytes) throws IOException {
-        byte sort = in.readByte();
-        long number = in.readLong();
-        last = Math.max(last, number);
-        Entry entry = entries.get(number);
-        if (sort == TAKEN) {
-            entry = new Entry(number, message(in));
-            entry.reserved = reserve(bytes);
-            reserved += entry.reserved;
-            entries.put(number, entry);
-        } else if (entry != null) {
+        private static void follow(Entry entry, byte sort, DataInputStream in) throws IOException {
             switch (sort) {
                 case SENT -> entry.attempts.add(new Attempt(in.readLong(), in.readInt()));
                 case NOT_RUN -> entry.attempts.get(in.readShort()).mayHaveRun = false;
                 case ENDED -> entry.end = new End(in.readBoolean(), in.readLong());
-                case CLOSED -> forget(number);
                 default -> throw new IOException("journal holds a record of unknown sort " + sort);
             }
         }
@@ -280,6 +500,10 @@
             .put(bytes).array();
     }
 
+    private static byte[] origin(Origin origin) throws IOException {
+        return record(ORIGIN, origin.number, o -> o.writeLong(origin.file));
+    }
+
     private static byte[] taken(Entry entry) throws IOException {
         Message m = entry.message;
         return record(TAKEN, entry.number, o -> {
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Knowledge.java
@@ -0,0 +1,74 @@
+package wrenkeel.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongUnaryOperator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wrenkeel.Relay;
+import wrenkeel.Wire;
+
+/** What a process that leaves knows of the hosts, as text for the next; points in time in Unix time, ms. */
+final class Knowledge {
+    private static final Logger LOG = LoggerFactory.getLogger(Knowledge.class);
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private Knowledge() { }
+
+    static String write(List<Relay.Known> all, HostList hosts, LongUnaryOperator toUnix) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = JSON.createGenerator(text)) {
+            out.writeStartObject();
+            out.writeNumberField("seq", hosts.version());
+            out.writeArrayFieldStart("known");
+            for (Relay.Known known : all) {
+                HostList.Host host = hosts.host(known.endpoint());
+                out.writeStartObject();
+                out.writeStringField("host", host.name);
+                out.writeBooleanField("ready", host.ready);
+                out.writeNumberField("wait", toUnix.applyAsLong(known.waitUntil()));
+                out.writeNumberField("closed", toUnix.applyAsLong(known.closedUntil()));
+                out.writeBooleanField("out", known.out());
+                out.writeNumberField("returned",
+                    known.returnedAt() == 0 ? 0 : toUnix.applyAsLong(known.returnedAt()));
+                out.writeNumberField("pace", known.pace());
+                out.writeNumberField("window", known.window());
+                out.writeNumberField("latency", known.latency());
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        }
+        return text.toString();
+    }
+
+    /** Text that cannot be read tells nothing: this process then learns as one does after a restart. */
+    static List<Relay.Event> read(String text, HostList hosts, LongUnaryOperator toModule) {
+        List<Relay.Event> events = new ArrayList<>();
+        try {
+            Wire.Fields all = Wire.decode(text);
+            boolean newer = all.whole("seq") > hosts.version();
+            for (Wire.Fields f : all.objects("known")) {
+                HostList.Host host = hosts.named(f.text("host"));
+                if (host == null) {
+                    continue;
+                }
+                if (newer && host.ready && !f.flag("ready")) {
+                    events.add(hosts.drain(host));
+                }
+                long returned = f.whole("returned");
+                events.add(new Relay.Known(host.number, toModule.applyAsLong(f.whole("wait")),
+                    toModule.applyAsLong(f.whole("closed")), f.flag("out"),
+                    returned == 0 ? 0 : toModule.applyAsLong(returned), f.number("pace"),
+                    f.number("window"), f.number("latency")));
+            }
+        } catch (Wire.Malformed e) {
+            LOG.warn("what the process before knew cannot be read: {}", e.getMessage());
+        }
+        return events;
+    }
+}
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -5,9 +5,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -72,6 +74,8 @@
     private final long began = System.nanoTime();
     private boolean turnDue;
     private boolean stopped;
+    private boolean leaving;
+    private Map<Long, Integer> outElsewhere = Map.of();
     private int open;
 
     Loop(EventLoop loop, Config config, HostList hosts, HostPool pool, Journal journal, Figures figures,
@@ -95,22 +99,11 @@
         Discovery open(Discovery.Listener whenListed, Consumer<Journal.Entry> whenNoticed);
     }
 
-    /** Tells the module the list as last had and what the journal holds, then begins to watch. */
+    /** Tells the module the list as last had, then begins to watch. */
     void start(Wire.Fields known) throws Wire.Malformed {
         if (!known.values().isEmpty()) {
             tell(hosts.update(known));
         }
-        for (Journal.Entry entry : journal.owed()) {
-            if (entry.end != null) {
-                discovery.notice(entry);
-            } else if (!classes.containsKey(entry.message.messageClass())) {
-                LOG.warn("message {} given up: its class {} is gone", entry.message.id(),
-                    entry.message.messageClass());
-                end(entry, new Journal.End(false, 0));
-            } else {
-                recover(entry);
-            }
-        }
         turn();
         discovery.watch();
         loop.scheduleWithFixedDelay(this::stand, 0, STAND, TimeUnit.MILLISECONDS);
@@ -120,6 +113,53 @@
         figures.stands(journal.size(), hosts.listed(), control.unavailable(now()));
     }
 
+    /** Goes on with what processes before this one have left, once they have ended or passed it on. */
+    void adopt() throws IOException {
+        journal.adopt(this::owed);
+        journal.waits().forEach((host, until) -> {
+            HostList.Host told = hosts.named(host);
+            if (told != null) {
+                tell(new Relay.Known(told.number, moduleTime(until), 0, false, 0, 0, 0, 0));
+            }
+        });
+        Map<Long, Integer> out = journal.outElsewhere();
+        Set<Long> changed = new HashSet<>(out.keySet());
+        changed.addAll(outElsewhere.keySet());
+        for (long destination : changed) {
+            if (!out.getOrDefault(destination, 0).equals(outElsewhere.getOrDefault(destination, 0))) {
+                tell(new Relay.Elsewhere(destination, out.getOrDefault(destination, 0)));
+            }
+        }
+        outElsewhere = out;
+    }
+
+    private void owed(Journal.Entry entry) {
+        if (entry.end != null) {
+            discovery.notice(entry);
+        } else if (!classes.containsKey(entry.message.messageClass())) {
+            LOG.warn("message {} given up: its class {} is gone", entry.message.id(),
+                entry.message.messageClass());
+            end(entry, new Journal.End(false, 0));
+        } else {
+            recover(entry);
+        }
+    }
+
+    /** Passes on to the next process what is not out, and leaves what the module knows. */
+    void leave() throws IOException {
+        journal.beginPassing();
+        leaving = true;
+        tell(new Relay.Leave());
+        turn();
+        journal.leave(Knowledge.write(control.knowledge(), hosts, this::unixTime));
+        pool.closeAllIdle();
+    }
+
+    /** Takes in what the process before this one has left. */
+    void learn(String knowledge) {
+        Knowledge.read(knowledge, hosts, this::moduleTime).forEach(this::tell);
+    }
+
     /** The deadline passes into the module's clock; earlier attempts keep their distance from now. */
     private void recover(Journal.Entry entry) {
         Held h = new Held(entry.message, entry);
@@ -230,6 +270,11 @@
         return now() + (unix - System.currentTimeMillis()) * 1_000;
     }
 
+    /** The module's clock to Unix time in ms. */
+    private long unixTime(long time) {
+        return System.currentTimeMillis() + (time - now()) / 1_000;
+    }
+
     private void turn() {
         turnDue = false;
         if (events.isEmpty() || stopped) {
@@ -310,6 +355,8 @@
             end(a.id(), new Journal.End(true, a.retryAfter()));
         } else if (action instanceof Relay.Fail a) {
             end(a.id(), new Journal.End(false, 0));
+        } else if (action instanceof Relay.Pass a) {
+            pass(a.id());
         } else if (action instanceof Relay.Cancel a) {
             Held h = held.get(a.id());
             HostPool.Part part = h == null ? null : h.calls.get(a.attempt());
@@ -368,6 +415,7 @@
         }
         h.out--;
         if (reply.waitFor() > 0) {
+            wait(host, reply.waitFor());
             // Guards the rule on waits: calls there that still wait for their connection do not go out.
             boolean apart = settings.kinds().get(host.kind).apart();
             hosts.hosts().stream().filter(other -> other == host
@@ -393,6 +441,17 @@
         forget(h);
     }
 
+    /** Guards the rule on waits across a replacement: the next process must hear of this one too. */
+    private void wait(HostList.Host host, long span) {
+        if (leaving) {
+            try {
+                journal.waits(host.name, System.currentTimeMillis() + span / 1_000 + 1);
+            } catch (IOException e) {
+                LOG.error("journal cannot be written, a wait for {} is not passed on", host.name, e);
+            }
+        }
+    }
+
     private void notRun(Held h, int attempt) {
         try {
             journal.notRun(h.entry, attempt);
@@ -411,6 +470,18 @@
         }
     }
 
+    private void pass(String id) {
+        Held h = held.get(id);
+        if (h != null && !h.over) {
+            over(h);
+            try {
+                journal.passed(h.entry);
+            } catch (IOException e) {
+                LOG.error("journal cannot be written, message {} is passed on at the end", id, e);
+            }
+        }
+    }
+
     private void end(Journal.Entry entry, Journal.End end) {
         try {
             journal.ended(entry, end);
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -1,15 +1,11 @@
 package wrenkeel.net;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -28,9 +24,8 @@
      * 3.7 s).
      */
     private static final long SERVE_ON = 600, LEAVE_BY = 3_300;
-    private static final long LOOK = 20;
-    /** Connections that may wait to be accepted. */
-    private static final int BACKLOG = 512;
+    /** ms between looks: for the end, at what the earlier process passes on, and after a fault. */
+    private static final long LOOK = 20, TURN_OVER = 10, AGAIN = 200;
 
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -38,24 +33,88 @@
     private final CountDownLatch left = new CountDownLatch(1);
     private final Figures figures = new Figures();
     private final Console console;
-    private volatile boolean serving;
+    private volatile boolean ready;
     private final Journal journal;
+    private final Config config;
     private Loop loop;
     private Server server;
-    private Channel listener;
+    private Callers clients;
+    private Door door;
 
-    /** Takes up what the journal holds, and serves. */
+    /** Takes up what the lasting folder holds, and serves; or stands by while an earlier process serves. */
     Node(Config config) throws IOException, InterruptedException, ExecutionException {
-        console = config.console() == null ? null : new Console(config.console(), () -> serving, figures);
-        journal = new Journal(config.state(), config.diskBytes(), config.settings().allowed().attempts());
-        ChannelFuture bound = thread.submit(() -> begin(config)).get();
-        listener = bound.channel();
-        bound.get();
-        serving = true;
+        this.config = config;
+        console = config.console() == null ? null : new Console(config.console(), () -> ready, figures);
         if (console != null) {
             LOG.info("operators at {}", consoleAddress());
         }
-        LOG.info("serving on {}, {} messages taken up", address(), journal.owed().size());
+        journal = new Journal(config.state(), config.diskBytes(), config.settings().allowed().attempts());
+        thread.submit(() -> {
+            begin();
+            if (journal.earlierServes()) {
+                standBy();
+            } else {
+                serve();
+            }
+            return null;
+        }).get();
+    }
+
+    /** Reserves the clients' address, and looks again and again whether the earlier process has left. */
+    private void standBy() throws IOException {
+        clients.allow(descriptors().clients() / 2);
+        door = Door.reserve(config.listen());
+        LOG.info("standing by for {}", config.listen());
+        ready = true;
+        thread.schedule(this::await, TURN_OVER, TimeUnit.MILLISECONDS);
+    }
+
+    private void await() {
+        try {
+            if (journal.earlierServes()) {
+                thread.schedule(this::await, TURN_OVER, TimeUnit.MILLISECONDS);
+            } else {
+                serve();
+            }
+        } catch (IOException e) {
+            LOG.error("cannot take over, tried again", e);
+            thread.schedule(this::await, AGAIN, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Takes over what is left by earlier processes, and opens the door to clients. */
+    private void serve() throws IOException {
+        String knowledge = journal.knowledge();
+        if (knowledge != null) {
+            loop.learn(knowledge);
+        }
+        loop.adopt();
+        if (door != null) {
+            door.close();
+        }
+        door = Door.open(config.listen(), thread, server);
+        journal.takenOver();
+        ready = true;
+        LOG.info("serving on {}, {} messages taken up", address(), journal.size());
+        adoptOn();
+    }
+
+    /** What the process that leaves still passes on, until it has ended. */
+    private void adoptOn() {
+        if (journal.hasLegacies()) {
+            try {
+                loop.adopt();
+            } catch (IOException e) {
+                LOG.error("cannot take over all, tried again", e);
+            }
+            thread.schedule(this::adoptOn, TURN_OVER, TimeUnit.MILLISECONDS);
+        } else {
+            clients.allow(descriptors().clients());
+        }
+    }
+
+    private Descriptors descriptors() {
+        return Descriptors.of(config.sockets(), config.settings().allowed().slots());
     }
 
     /** Serves until the process is told to end; 2 where the configuration is of no use. */
@@ -93,29 +152,23 @@
         }
     }
 
-    private ChannelFuture begin(Config config) throws Wire.Malformed {
+    private void begin() throws Wire.Malformed {
         Bootstrap calls = new Bootstrap().group(thread)
             .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
         HostList hosts = new HostList(config.zones(), config.kinds());
-        Descriptors descriptors = Descriptors.of(config.sockets(), config.settings().allowed().slots());
         HostPool pool = new HostPool(thread, calls, config.settings().allowed().connectTimeout(),
-            config.settings().allowed().keepAlive(), descriptors.hosts(), figures);
+            config.settings().allowed().keepAlive(), descriptors().hosts(), figures);
         loop = new Loop(thread, config, hosts, pool, journal, figures,
             (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                 whenNoticed));
         loop.start(config.known());
-        server = new Server(loop, new Callers(descriptors.clients()));
-        ServerBootstrap bootstrap = new ServerBootstrap().group(thread, thread)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(server);
-        return bootstrap.bind(config.listen());
+        clients = new Callers(descriptors().clients());
+        server = new Server(loop, clients);
     }
 
     /** The address that clients connect to. */
     InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
+        return door.address();
     }
 
     /** The address that operators connect to. */
@@ -130,19 +183,24 @@
 
     /**
      * The orderly end: connections are served until clients have turned away, then what is held is worked
-     * off. What is left stays in the journal, as it does when the process is killed.
+     * off. What is left stays in the journal, as it does when the process is killed; where another process
+     * stands by, it takes over at once.
      */
     void leave() {
         long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LEAVE_BY);
-        serving = false;
+        ready = false;
         try {
-            thread.execute(server::leave);
-            Thread.sleep(SERVE_ON);
-            thread.submit(() -> {
-                listener.close();
-                // Behind the turn that answers what has just been read.
-                return thread.submit(server::closeClients);
-            }).get();
+            thread.submit(server::leave).get();
+            if (thread.submit(journal::laterWaits).get()) {
+                handOver(by);
+            } else {
+                Thread.sleep(SERVE_ON);
+                thread.submit(() -> {
+                    door.close();
+                    // Behind the turn that answers what has just been read.
+                    return thread.submit(clients::closeAll);
+                }).get();
+            }
             while (System.nanoTime() < by && !idle()) {
                 Thread.sleep(LOOK);
             }
@@ -152,6 +210,26 @@
         close();
     }
 
+    /**
+     * What is not out is passed on; the door closes once the next process has opened its own. Clients that
+     * still hold connections are served here, and each answer closes one: closing them would cut off what is
+     * on its way.
+     */
+    private void handOver(long by) throws InterruptedException, ExecutionException {
+        thread.submit(() -> {
+            loop.leave();
+            clients.allow(descriptors().clients() / 2);
+            return null;
+        }).get();
+        while (System.nanoTime() < by && !journal.laterServes() && thread.submit(journal::laterWaits).get()) {
+            Thread.sleep(LOOK);
+        }
+        thread.submit(door::drain).get();
+        while (System.nanoTime() < by && thread.submit(clients::size).get() > 0) {
+            Thread.sleep(LOOK);
+        }
+    }
+
     /** The abrupt end: what is owed stays in the journal. */
     @Override
     public void close() {
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -58,11 +58,6 @@
         leaving = true;
     }
 
-    /** Closes the connections that clients keep; each must have had its answer. */
-    void closeClients() {
-        clients.closeAll();
-    }
-
     /** A request that cannot be served as it stands. */
     private static final class Bad extends Exception {
         private static final long serialVersionUID = 1L;
--- /dev/null
+++ b/src/main/java/wrenkeel/net/Tenure.java
@@ -0,0 +1,187 @@
+package wrenkeel.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * This process among those that share the lasting folder. Each has a number, higher than any before it, and a
+ * file {@code relay.N} that it keeps locked: the lock is free once the process has ended, however it ended.
+ */
+final class Tenure implements AutoCloseable {
+    private static final String LOCK = "relay", JOURNAL = "journal", KNOWLEDGE = "leaving";
+
+    private final Path folder;
+    private final long number;
+    private final FileChannel lock;
+    private final List<Earlier> earlier = new ArrayList<>();
+
+    private Tenure(Path folder, long number, FileChannel lock) {
+        this.folder = folder;
+        this.number = number;
+        this.lock = lock;
+    }
+
+    /** Takes the next number. */
+    static Tenure begin(Path folder) throws IOException {
+        while (true) {
+            List<Long> before = numbers(folder, LOCK);
+            before.addAll(numbers(folder, JOURNAL));
+            long next = before.stream().mapToLong(n -> n).max().orElse(0) + 1;
+            try {
+                FileChannel lock = FileChannel.open(folder.resolve(LOCK + "." + next),
+                    StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+                lock.lock();
+                Tenure tenure = new Tenure(folder, next, lock);
+                before.stream().distinct().sorted().forEach(n -> tenure.earlier.add(new Earlier(folder, n)));
+                if (Files.exists(folder.resolve(JOURNAL))) {
+                    // Written by a release that had one file and no number.
+                    tenure.earlier.add(0, new Earlier(folder, 0));
+                }
+                return tenure;
+            } catch (FileAlreadyExistsException e) {
+                // Another process that starts now was faster.
+            }
+        }
+    }
+
+    private static List<Long> numbers(Path folder, String name) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return new ArrayList<>(files.map(file -> file.getFileName().toString())
+                .filter(file -> file.matches(name + "\\.[0-9]{1,18}"))
+                .map(file -> Long.parseLong(file.substring(name.length() + 1))).toList());
+        }
+    }
+
+    Path file(String name) {
+        return folder.resolve(name + "." + number);
+    }
+
+    List<Earlier> earlier() {
+        return earlier;
+    }
+
+    /** True while a process with a higher number lives. */
+    boolean laterWaits() throws IOException {
+        for (long other : numbers(folder, LOCK)) {
+            if (other > number) {
+                try (Earlier later = new Earlier(folder, other)) {
+                    if (!later.over()) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Leaves what this process knows to the one that stands by. */
+    void leave(String knowledge) throws IOException {
+        Path draft = Files.writeString(file(KNOWLEDGE + ".new"), knowledge);
+        Files.move(draft, file(KNOWLEDGE), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** True once the later process has taken over. */
+    boolean laterServes() {
+        return !Files.exists(file(KNOWLEDGE));
+    }
+
+    @Override
+    public void close() throws IOException {
+        lock.close();
+    }
+
+    /** Another process of the folder, and its files. */
+    static final class Earlier implements AutoCloseable {
+        private final Path folder;
+        private final long number;
+        private FileChannel lock;
+        private boolean over;
+
+        Earlier(Path folder, long number) {
+            this.folder = folder;
+            this.number = number;
+        }
+
+        long number() {
+            return number;
+        }
+
+        private Path file(String name) {
+            return folder.resolve(number == 0 ? name : name + "." + number);
+        }
+
+        /** True once it has ended. */
+        boolean over() throws IOException {
+            if (over || number == 0) {
+                return true;
+            }
+            try {
+                if (lock == null) {
+                    lock = FileChannel.open(file(LOCK), StandardOpenOption.WRITE);
+                }
+                over = lock.tryLock() != null;
+                return over;
+            } catch (OverlappingFileLockException e) {
+                // Held by another relay inside this very process.
+                return false;
+            } catch (NoSuchFileException e) {
+                return true;
+            }
+        }
+
+        /** Its journal from this byte on. */
+        byte[] journalFrom(long position) throws IOException {
+            try (FileChannel in = FileChannel.open(file(JOURNAL), StandardOpenOption.READ)) {
+                ByteBuffer bytes = ByteBuffer.allocate((int) Math.max(0, in.size() - position));
+                while (bytes.hasRemaining() && in.read(bytes, position + bytes.position()) >= 0) {
+                    continue;
+                }
+                return Arrays.copyOf(bytes.array(), bytes.position());
+            } catch (NoSuchFileException e) {
+                return new byte[0];
+            }
+        }
+
+        /** What it has left for the process that takes over; null while it serves. */
+        String knowledge() throws IOException {
+            try {
+                return Files.readString(file(KNOWLEDGE));
+            } catch (NoSuchFileException e) {
+                return null;
+            }
+        }
+
+        /** Tells it that another process serves now. */
+        void heard() throws IOException {
+            Files.deleteIfExists(file(KNOWLEDGE));
+        }
+
+        /** It has ended, and nothing in its files is needed any more; the lock goes last. */
+        void delete() throws IOException {
+            for (String name : List.of(JOURNAL + ".new", JOURNAL, KNOWLEDGE + ".new", KNOWLEDGE, LOCK)) {
+                Files.deleteIfExists(file(name));
+            }
+            close();
+        }
+
+        @Override
+        public void close() throws IOException {
+            if (lock != null) {
+                lock.close();
+                lock = null;
+            }
+        }
+    }
+}
--- a/src/test/java/wrenkeel/net/ConsoleTest.java
+++ b/src/test/java/wrenkeel/net/ConsoleTest.java
@@ -53,6 +53,10 @@
         }
     }
 
+    static boolean ready(Node relay) throws IOException {
+        return call(relay.consoleAddress(), "GET /api/ready HTTP/1.1").startsWith("HTTP/1.1 200 ");
+    }
+
     private static Wire.Fields figures(Node relay) throws IOException {
         String answer = call(relay.consoleAddress(), "GET /api/telemetry HTTP/1.1");
         assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -18,7 +18,9 @@
     Path folder;
 
     private Journal open() throws IOException {
-        return new Journal(folder, LIMIT, 12);
+        Journal journal = new Journal(folder, LIMIT, 12);
+        journal.adopt(entry -> { });
+        return journal;
     }
 
     private static Message message(String id, int bytes) {
@@ -98,20 +100,21 @@
         try (Journal journal = open()) {
             journal.take(message("a", 100));
         }
-        Path file = folder.resolve("journal");
-        long whole = Files.size(file);
+        long whole;
         try (Journal journal = open()) {
+            whole = Files.size(Platform.journal(folder));
             journal.take(message("b", 100));
         }
-        byte[] both = Files.readAllBytes(file);
+        byte[] both = Files.readAllBytes(Platform.journal(folder));
         for (int length = (int) whole; length < both.length; length++) {
-            Files.write(file, java.util.Arrays.copyOf(both, length));
+            Files.write(Platform.journal(folder), java.util.Arrays.copyOf(both, length));
             try (Journal journal = open()) {
                 assertEquals("a", only(journal).message.id());
                 journal.take(message("c", 100));
             }
             try (Journal journal = open()) {
                 assertEquals(2, journal.owed().size());
+                assertTrue(onDisk() <= LIMIT);
             }
         }
     }
@@ -136,7 +139,7 @@
             journal.take(message("a", 100));
             journal.take(message("b", 100));
         }
-        Path file = folder.resolve("journal");
+        Path file = Platform.journal(folder);
         byte[] bytes = Files.readAllBytes(file);
         bytes[bytes.length - 1] ^= 1;
         Files.write(file, bytes, StandardOpenOption.TRUNCATE_EXISTING);
@@ -169,4 +172,87 @@
             }
         }
     }
+
+    /** Guards what is owed at an upgrade: the release before wrote one file without a number. */
+    @Test
+    void aJournalOfTheReleaseBeforeIsTakenOver() throws IOException {
+        try (Journal journal = open()) {
+            journal.sent(journal.take(message("a", 100)), 1_000, 0);
+        }
+        Files.move(Platform.journal(folder), folder.resolve("journal"));
+        Files.writeString(folder.resolve("journal.new"), "cut off");
+        try (Journal journal = open()) {
+            assertEquals(1, only(journal).attempts.size());
+            assertFalse(Files.exists(folder.resolve("journal")));
+            assertFalse(Files.exists(folder.resolve("journal.new")));
+        }
+    }
+
+    /** Guards the one owner: what a living process has not passed on is not touched, nor is its file. */
+    @Test
+    void onlyWhatIsPassedOnIsTakenOverFromAProcessThatLives() throws IOException {
+        try (Journal old = open(); Journal next = new Journal(folder, LIMIT, 12)) {
+            Journal.Entry out = old.take(message("out", 10));
+            Journal.Entry waits = old.take(message("waits", 10));
+            assertTrue(next.earlierServes());
+            assertTrue(old.laterWaits());
+            old.beginPassing();
+            old.passed(waits);
+            old.leave("{}");
+            assertFalse(old.laterServes());
+            assertFalse(next.earlierServes());
+            assertEquals("{}", next.knowledge());
+            next.adopt(entry -> { });
+            next.takenOver();
+            assertTrue(old.laterServes());
+            assertEquals("waits", only(next).message.id());
+            assertEquals(java.util.Map.of(7L, 1), next.outElsewhere());
+            old.waits("s-1", 5_000);
+            old.passed(out);
+            next.adopt(entry -> { });
+            assertEquals(2, next.owed().size());
+            assertEquals(java.util.Map.of("s-1", 5_000L), next.waits());
+            assertEquals(java.util.Map.of(), next.outElsewhere());
+            assertTrue(next.hasLegacies());
+            old.close();
+            next.adopt(entry -> { });
+            assertFalse(next.hasLegacies());
+            assertEquals(2, next.owed().size());
+        }
+    }
+
+    /** Guards against a second run: whoever starts after both were killed finds each message once. */
+    @Test
+    void whatWasTakenOverIsNotTakenOverAgainAfterTheTakerWasKilled() throws IOException {
+        Journal old = open();
+        Journal.Entry first = old.take(message("first", 10));
+        old.take(message("second", 10));
+        Journal next = new Journal(folder, LIMIT, 12);
+        old.beginPassing();
+        old.passed(first);
+        old.leave("{}");
+        next.adopt(entry -> { });
+        next.closed(only(next));
+        // The taker writes its file anew, and must still know what it had taken over.
+        next.beginPassing();
+        next.close();
+        try (Journal third = open()) {
+            assertEquals(List.of(), List.copyOf(third.owed()), "the first is done, the second is still out");
+            old.close();
+            third.adopt(entry -> { });
+            assertEquals("second", only(third).message.id());
+        }
+        try (Journal fourth = open()) {
+            assertEquals("second", only(fourth).message.id());
+        }
+    }
+
+    /** Guards the old process: one that was to follow it and is dead has nothing to be passed. */
+    @Test
+    void aLaterProcessThatHasEndedDoesNotWait() throws IOException {
+        try (Journal old = open()) {
+            new Journal(folder, LIMIT, 12).close();
+            assertFalse(old.laterWaits());
+        }
+    }
 }
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -158,7 +158,7 @@
             }
             awaitClosedJournal(relay);
         }
-        try (Journal journal = new Journal(platform.journal().getParent(), 3_000_000, 12)) {
+        try (Journal journal = platform.leftBehind()) {
             assertTrue(journal.owed().isEmpty());
         }
     }
@@ -314,7 +314,7 @@
             host.call().answer(Host.OK);
             end.join();
         }
-        try (Journal journal = new Journal(platform.journal().getParent(), 3_000_000, 12)) {
+        try (Journal journal = platform.leftBehind()) {
             assertTrue(journal.owed().isEmpty(), "both were delivered before the end");
         }
     }
@@ -329,4 +329,88 @@
         assertThrows(Config.Unusable.class, () -> Config.address("localhost:80"));
         assertEquals(2, Node.serve(Map.of()));
     }
+
+    private Config shared() throws Exception {
+        return shared(platform.freePort());
+    }
+
+    private Config shared(int port) throws Exception {
+        return platform.config("127.0.0.1:" + port, new String[] {host("s-1", host.port(), 7, "ready")});
+    }
+
+    private static void awaitReady(Node relay) throws Exception {
+        while (!ConsoleTest.ready(relay)) {
+            Thread.sleep(5);
+        }
+    }
+
+    /** Guards messages across a replacement: what is out ends in the old process, the rest in the new one. */
+    @Test
+    void aProcessThatStandsByTakesOverWhatIsNotOut() throws Exception {
+        int port = platform.freePort();
+        Config config = shared(port);
+        Node old = new Node(config);
+        try (var client = new Platform.Client(old)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 60_000).get(0));
+            Host.Call out = host.call();
+            assertEquals(TAKEN, client.post("b", "bill", 7, 60_000).get(0));
+            try (Node next = new Node(config)) {
+                awaitReady(next);
+                assertTrue(host.quiet(), "one process decides");
+                Thread end = new Thread(old::leave);
+                end.start();
+                try (var late = new Platform.Client(new java.net.InetSocketAddress(Platform.LOOPBACK, port))) {
+                    assertEquals(TAKEN, late.post("c", "bill", 7, 60_000).get(0));
+                }
+                // The old process's call counts against the window, so the new one sends after it.
+                out.answer(Host.OK);
+                List<String> sent = new java.util.ArrayList<>();
+                for (int i = 0; i < 2; i++) {
+                    Host.Call passed = host.call();
+                    sent.add(passed.header("X-Request-ID"));
+                    passed.answer(Host.OK);
+                }
+                assertEquals(List.of("b", "c"), sent.stream().sorted().toList());
+                end.join();
+                awaitClosedJournal(next);
+            }
+        }
+        assertTrue(platform.notices.isEmpty(), "all were delivered");
+        assertTrue(host.quiet(), "and once only");
+    }
+
+    /** Guards what is owed when the old process is killed before it was told to leave. */
+    @Test
+    void aProcessThatStandsByTakesOverFromOneThatWasKilled() throws Exception {
+        Config config = shared();
+        Node old = new Node(config);
+        try (var client = new Platform.Client(old)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 60_000).get(0));
+            assertNotNull(host.call());
+        }
+        try (Node next = new Node(config)) {
+            awaitReady(next);
+            old.close();
+            Host.Call again = host.call();
+            assertEquals("a", again.header("X-Request-ID"));
+            again.answer(Host.OK);
+            awaitClosedJournal(next);
+        }
+    }
+
+    /** Guards the wait that a partner told: it binds whichever process heard it. */
+    @Test
+    void aWaitIsHeededByTheProcessThatTakesOver() throws Exception {
+        Config config = shared();
+        Node old = new Node(config);
+        try (var client = new Platform.Client(old); Node next = new Node(config)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 60_000).get(0));
+            host.call().answer("HTTP/1.1 429 Too Many Requests\r\nRetry-After: 3.5\r\nContent-Length: 0\r\n\r\n");
+            long told = System.nanoTime();
+            awaitReady(next);
+            old.leave();
+            assertEquals("a", host.call().header("X-Request-ID"));
+            assertTrue(System.nanoTime() - told >= TimeUnit.MILLISECONDS.toNanos(3_400));
+        }
+    }
 }
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -5,17 +5,20 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** What a relay needs round it, on loopback: an agent of discovery and its configuration; scripted by the test. */
 final class Platform implements AutoCloseable {
@@ -76,11 +79,22 @@
         return new Node(config(hosts));
     }
 
+    /** A port that nobody uses now; several relays are to share it. */
+    int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
+            return socket.getLocalPort();
+        }
+    }
+
     Config config(String... hosts) throws Exception {
+        return config("127.0.0.1:0", hosts);
+    }
+
+    Config config(String listen, String[] hosts) throws Exception {
         Path file = folder.resolve("config.json");
         Files.createDirectories(folder.resolve("state"));
         Files.writeString(file, """
-            {"name":"n0","listen":"127.0.0.1:0","console":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
+            {"name":"n0","listen":"%s","console":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
              "limits":{"sockets":1024,"disk_mb":3},"known":%s,
              "settings":{"rank":0,"balancers":1,"zone":0,"localities":["a","b"],"kinds":["m1","m2","m3"],
               "weights":"rough","novel":[1],
@@ -90,7 +104,7 @@
               "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
               "profiles":[{"name":"bill","aim":2000,"hard-limit":16000,"semantics":"dedup","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
-            """.formatted(agent.getAddress().getPort(), list(1, true, hosts)));
+            """.formatted(listen, agent.getAddress().getPort(), list(1, true, hosts)));
         return Config.read(env());
     }
 
@@ -99,8 +113,24 @@
             "EDGE_STATE", folder.resolve("state").toString());
     }
 
-    Path journal() {
-        return folder.resolve("state").resolve("journal");
+    /** The file that the latest process writes. */
+    Path journal() throws IOException {
+        return journal(folder.resolve("state"));
+    }
+
+    static Path journal(Path state) throws IOException {
+        try (Stream<Path> files = Files.list(state)) {
+            return files.filter(file -> file.getFileName().toString().matches("journal\\.[0-9]+"))
+                .max(Comparator.comparingInt(file -> Integer.parseInt(file.getFileName().toString().substring(8))))
+                .orElseThrow();
+        }
+    }
+
+    /** What a relay that has ended left behind. */
+    Journal leftBehind() throws IOException {
+        Journal journal = new Journal(folder.resolve("state"), 3_000_000, 12);
+        journal.adopt(entry -> { });
+        return journal;
     }
 
     String notice() throws InterruptedException {
