--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -94,14 +94,14 @@
     // ---- State ----------------------------------------------------------------------------------
     private record Pick(Msg msg, Route route, double priority) { }
 
-    private final Settings set;
+    private Settings set;
     private final SplittableRandom random;
     private final Map<String, Msg> messages = new HashMap<>();
     private final Map<String, Key> keys = new HashMap<>();
     private final Map<Long, Dest> dests = new TreeMap<>();
     private final Map<Long, Route> routes = new TreeMap<>();
     private final Set<Dest> active = new LinkedHashSet<>();
-    private final Bucket[] shares;
+    private Bucket[] shares;
     /** us, by kind: how long idle connections are held (endpoints may take few), and trusted to be alive. */
     private final double[] holds, trusts;
     private final double[] eases;
@@ -147,12 +147,12 @@
         return out;
     }
 
-    /** How many listed endpoints get nothing now: draining, failing, told or chosen to wait. */
+    /** How many listed endpoints are avoided now: draining, failing, or with a told wait to heed. */
     public int unavailable(long time) {
         int count = 0;
         for (Route r : routes.values()) {
             boolean listed = r.dest.routes.get(r.id) == r;
-            count += listed && (!r.ready || r.health == Health.OUT || closedUntil(r) > time) ? 1 : 0;
+            count += listed && (!r.ready || r.health == Health.OUT || r.lane.waitUntil > time) ? 1 : 0;
         }
         return count;
     }
@@ -164,6 +164,8 @@
             attemptEnded(e);
         } else if (event instanceof Listed e) {
             listed(e);
+        } else if (event instanceof Retuned e) {
+            retune(e.settings());
         } else if (event instanceof Leave) {
             leaving = true;
             messages.values().stream().filter(m -> m.queued).toList().forEach(this::pass);
@@ -180,6 +182,18 @@
         }
     }
 
+    /** Other settings bind from here on; what is known of partners stays, and messages keep their class. */
+    private void retune(Settings settings) {
+        set = settings;
+        Bucket[] before = shares;
+        shares = new Bucket[set.tenants().size()];
+        Arrays.setAll(shares, i -> i < before.length ? before[i] : new Bucket());
+        for (Dest d : dests.values()) {
+            d.widen(set.classes().size() * 3);
+            active.add(d);
+        }
+    }
+
     // ---- Message life ---------------------------------------------------------------------------
     private void accept(Accepted e) {
         if (messages.containsKey(e.id())) {
@@ -207,7 +221,7 @@
         for (Earlier before : e.earlier()) {
             m.attempts.add(recovered(m, before));
         }
-        if (!m.attempts.isEmpty() && (m.attempts.size() >= set.allowed().attempts()
+        if (!m.attempts.isEmpty() && (m.attempts.size() >= m.cls.tries()
             || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun())) {
             giveUp(m);
         } else if (m.key == null || m.key.line.peekFirst() == m) {
@@ -354,7 +368,7 @@
 
     /** No attempt is out and none has delivered: wait for another, or end. */
     private void afterFailure(Msg m) {
-        boolean spent = m.attempts.size() >= set.allowed().attempts() || now >= m.deadline;
+        boolean spent = m.attempts.size() >= m.cls.tries() || now >= m.deadline;
         if (spent || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun()) {
             giveUp(m);
         } else {
@@ -511,7 +525,7 @@
 
     /** The one gate of every send: when this message may go to this route; now or earlier means it may. */
     private long gate(Msg m, Route r, boolean copy) {
-        if (!r.ready || m.ended || m.dest != r.dest || m.attempts.size() >= set.allowed().attempts()
+        if (!r.ready || m.ended || m.dest != r.dest || m.attempts.size() >= m.cls.tries()
             || m.deadline <= now || !effectAllows(m, r, copy)) {
             return NEVER;
         }
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -32,9 +32,13 @@
     /** One address of a destination; the weight is the listed rate in calls a second, or 1. */
     public record Endpoint(long id, int zone, int kind, long destination, Listing listing, double weight) { }
 
-    /** A class of message. {@code zoneGroup}: repeats are dropped only by endpoints of one zone. */
+    /**
+     * A class of message. {@code zoneGroup}: repeats are dropped only by endpoints of one zone;
+     * {@code tries}: attempts that its messages have.
+     */
     public record MessageClass(String name, long aim, long life, double worth, double lateWorth,
-                               Effect effect, boolean zoneGroup, long window, boolean inOrder) { }
+                               Effect effect, boolean zoneGroup, long window, boolean inOrder,
+                               int tries) { }
 
     /** A tenant and its rate of messages, over all relays, that counts in full. */
     public record Tenant(String name, double quota) { }
@@ -46,7 +50,7 @@
     public enum Weights { NONE, NOMINAL, ROUGH }
 
     /** What the site lets a relay do. */
-    public record Allowed(int slots, int open, int attempts, boolean copies, boolean cancel,
+    public record Allowed(int slots, int open, boolean copies, boolean cancel,
                           int streams, long connectTimeout, long keepAlive,
                           long longestAdvice) { }
 
@@ -61,7 +65,12 @@
     /** All that a relay is told at its start. */
     public record Settings(int rank, int relays, int zone, boolean halvingLate, double overShareWorth,
                            Weights weights, List<MessageClass> classes, List<Tenant> tenants,
-                           List<Kind> kinds, Allowed allowed, Rules rules, Prices prices) { }
+                           List<Kind> kinds, Allowed allowed, Rules rules, Prices prices) {
+        public Settings with(List<MessageClass> others) {
+            return new Settings(rank, relays, zone, halvingLate, overShareWorth, weights, others, tenants,
+                kinds, allowed, rules, prices);
+        }
+    }
 
     /** Something that happened. */
     public sealed interface Event { }
@@ -91,6 +100,12 @@
     /** The message was withdrawn; nothing is owed any more. */
     public record Withdrawn(String id) implements Event { }
 
+    /**
+     * Other settings are in force. Their list of classes begins with the one held: messages taken under a
+     * class that is gone, or was changed, keep it.
+     */
+    public record Retuned(Settings settings) implements Event { }
+
     /** Another process takes over: whatever is not out is passed on, and nothing more is sent from here. */
     public record Leave() implements Event { }
 
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -190,7 +190,7 @@
     /** One destination: its routes, waiting messages, window and answers. */
     static final class Dest {
         final Map<Long, Route> routes = new TreeMap<>();
-        final Band[] bands;
+        Band[] bands;
         final Answers answers;
         Lane shared;
         private double marks;
@@ -203,9 +203,16 @@
         long lookAt, refusedAt, backoffUntil;
 
         Dest(int bands, int answers) {
-            this.bands = new Band[bands];
-            Arrays.setAll(this.bands, i -> new Band());
+            this.bands = new Band[0];
             this.answers = new Answers(answers);
+            widen(bands);
+        }
+
+        /** Makes room for the bands of further classes. */
+        void widen(int most) {
+            int before = bands.length;
+            bands = Arrays.copyOf(bands, most);
+            Arrays.setAll(bands, i -> i < before ? bands[i] : new Band());
         }
 
         /** Counts a message into the rate over an exponential span; {@code age}: counted how long. */
--- a/src/main/java/wrenkeel/Wire.java
+++ b/src/main/java/wrenkeel/Wire.java
@@ -110,10 +110,16 @@
             throw new Malformed("field '" + name + "' is not an array");
         }
 
+        /** The object that a decoded value is; null if it is none. */
         @SuppressWarnings("unchecked")
+        public static Fields of(Object value) {
+            return value instanceof Map ? new Fields((Map<String, Object>) value) : null;
+        }
+
         private static Fields asFields(Object value, String name) throws Malformed {
-            if (value instanceof Map) {
-                return new Fields((Map<String, Object>) value);
+            Fields fields = of(value);
+            if (fields != null) {
+                return fields;
             }
             throw new Malformed("field '" + name + "' is not an object");
         }
@@ -179,11 +185,13 @@
         Fields allowed = s.object("allowed");
         Fields rules = s.object("rules");
         Fields prices = s.object("deductions");
+        int tries = (int) allowed.whole("most-tries", 1);
         List<Relay.MessageClass> classes = new ArrayList<>();
         for (Fields c : s.objects("profiles")) {
             classes.add(new Relay.MessageClass(c.text("name", ""), c.time("aim"), c.time("hard-limit"),
                 c.number("worth", 1), c.number("late-worth", 0), effect(c.text("semantics")),
-                c.text("group", "all").equals("zone"), c.time("window", 0), c.flag("sequential")));
+                c.text("group", "all").equals("zone"), c.time("window", 0), c.flag("sequential"),
+                tries));
         }
         List<Relay.Tenant> tenants = new ArrayList<>();
         for (Fields t : s.objects("tenants")) {
@@ -206,7 +214,7 @@
             info.text("late", "linear").equals("halving"), s.number("over-share-worth", 1),
             weights(s.text("weights", "none")), classes, tenants, kinds,
             new Relay.Allowed((int) info.whole("call-slots", 1), (int) allowed.whole("open-cap", 1000),
-                (int) allowed.whole("most-tries", 1), allowed.flag("second-copies"), allowed.flag("cancel"),
+                allowed.flag("second-copies"), allowed.flag("cancel"),
                 (int) allowed.whole("max-streams", 1),
                 allowed.time("connect-timeout", 0), allowed.time("keepalive", 0),
                 allowed.flag("retry-after") ? allowed.time("max-retry-after", 0) : 0),
--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -6,19 +6,23 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import wrenkeel.Relay;
 import wrenkeel.Wire;
 
 /**
  * What the platform tells one relay at its start. {@code zones} and {@code kinds} hold the names that
  * discovery's list uses, in the order of the numbers that the module knows them by; {@code known} is the list
- * as last had; {@code console} is null where operators have no address.
+ * as last had; {@code console} is null where operators have no address; {@code file} is
+ * all that was read.
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress console, Path state,
               long seed, int sockets, long diskBytes, Relay.Settings settings, List<String> zones,
-              List<String> kinds, Wire.Fields known) {
+              List<String> kinds, Wire.Fields known, Wire.Fields file) {
 
     /** us; taken off a key's window besides: for the way to the host. */
     private static final long WINDOW_MARGIN = 100_000;
@@ -49,7 +53,7 @@
                 console(env.getOrDefault("EDGE_CONSOLE", all.text("console", null))), folder(state),
                 seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
                 (long) (limits.number("disk_mb", 3) * 1_000_000), usable(Wire.settings(settings)),
-                names(settings, "localities"), names(settings, "kinds"), all.object("known"));
+                names(settings, "localities"), names(settings, "kinds"), all.object("known"), all);
         } catch (Wire.Malformed e) {
             throw new Unusable("configuration " + file + ": " + e.getMessage());
         } catch (IOException e) {
@@ -57,13 +61,41 @@
         }
     }
 
-    /** Where the configuration file says that discovery is; after a reload it overrides the environment. */
-    static InetSocketAddress discovery(Map<String, String> env) throws Unusable {
-        String file = env.get("EDGE_CONFIG");
-        try {
-            return address(Wire.decode(Files.readString(Path.of(file))).text("discovery"));
-        } catch (IOException e) {
-            throw new Unusable("cannot read configuration " + file + ": " + e);
+    /**
+     * Reads the file anew for a process that runs, whole or not at all. Discovery is where the file says, for
+     * the environment is that of the start. The file must have every key that the one in force has, and must
+     * not change the sites and kinds: the list's endpoints are known by them.
+     */
+    Config reread(Map<String, String> env) throws Unusable {
+        Map<String, String> folders = new HashMap<>(env);
+        folders.keySet().retainAll(Set.of("EDGE_CONFIG", "EDGE_STATE"));
+        Config next = read(folders);
+        complete("", file, next.file);
+        if (!next.zones.equals(zones) || !next.kinds.equals(kinds)) {
+            throw new Unusable("localities and kinds cannot change while the relay runs");
+        }
+        return new Config(listen, next.discovery, console, state, seed, next.sockets, next.diskBytes,
+            next.settings, zones, kinds, next.known, next.file);
+    }
+
+    Descriptors descriptors() {
+        return Descriptors.of(sockets, settings.allowed().slots());
+    }
+
+    /** Entries of lists may differ in number and form; they are checked as they are read. */
+    private static void complete(String path, Wire.Fields before, Wire.Fields now) throws Unusable {
+        for (Map.Entry<String, Object> entry : before.values().entrySet()) {
+            Object value = now.values().get(entry.getKey());
+            if (value == null && entry.getValue() != null) {
+                throw new Unusable("configuration lacks '" + path + entry.getKey() + "'");
+            }
+            if (Wire.Fields.of(entry.getValue()) != null) {
+                if (Wire.Fields.of(value) == null) {
+                    throw new Unusable("configuration: '" + path + entry.getKey() + "' is not an object");
+                }
+                complete(path + entry.getKey() + ".", Wire.Fields.of(entry.getValue()),
+                    Wire.Fields.of(value));
+            }
         }
     }
 
@@ -96,12 +128,22 @@
             || s.allowed().connectTimeout() <= 0 || s.allowed().keepAlive() <= 0) {
             throw new Unusable("settings lack classes, kinds, relays, slots or connection times");
         }
+        Set<String> names = new HashSet<>();
+        for (Relay.MessageClass c : s.classes()) {
+            if (c.name().isEmpty() || !names.add(c.name()) || c.aim() <= 0 || c.life() <= 0
+                || c.tries() < 1) {
+                throw new Unusable("class '" + c.name() + "' has no name of its own, or no positive aim,"
+                    + " deadline or number of attempts");
+            }
+            if (c.effect() == Relay.Effect.KEYED && c.window() <= 0) {
+                throw new Unusable("class '" + c.name() + "' has no window in which a repeat is dropped");
+            }
+        }
         List<Relay.MessageClass> classes = s.classes().stream().map(c -> new Relay.MessageClass(c.name(),
             c.aim(), c.life(), c.worth(), c.lateWorth(), c.effect(), c.zoneGroup(),
-            Math.max(0, c.window() - s.allowed().connectTimeout() - WINDOW_MARGIN), c.inOrder())).toList();
-        return new Relay.Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(),
-            s.weights(),
-            classes, s.tenants(), s.kinds(), s.allowed(), s.rules(), s.prices());
+            Math.max(0, c.window() - s.allowed().connectTimeout() - WINDOW_MARGIN), c.inOrder(),
+            c.tries())).toList();
+        return s.with(classes);
     }
 
     private static List<String> names(Wire.Fields settings, String field) throws Wire.Malformed {
--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -95,6 +95,9 @@
 
     /** Goes on at another address; what is under way at the old one is asked or posted there again. */
     void moveTo(InetSocketAddress agent) {
+        if (agent.equals(watch.agent)) {
+            return;
+        }
         watch.moveTo(agent);
         reports.moveTo(agent);
     }
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -160,21 +160,17 @@
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final long idleLimit;
+    private long idleLimit;
     private final Figures figures;
-    private final int most;
+    private int most;
     private final Map<Long, Pool> pools = new HashMap<>();
 
     /** {@code most}: connections at once, beyond which ones that carry no call are closed. */
     HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive, int most,
              Figures figures) {
-        this.most = most;
         this.loop = loop;
         this.figures = figures;
-        long millis = keepAlive / 1_000;
-        this.idleLimit = TimeUnit.MILLISECONDS.toNanos(Math.max(millis / 2, millis - IDLE_MARGIN));
         this.bootstrap = bootstrap.clone(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000))
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
@@ -182,9 +178,18 @@
                     channel.pipeline().addLast(new HttpClientCodec(), new Connection());
                 }
             });
+        retune(connectTimeout, keepAlive, most);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
     }
 
+    /** Other limits hold from the next connection on. */
+    void retune(long connectTimeout, long keepAlive, int connections) {
+        most = connections;
+        long millis = keepAlive / 1_000;
+        idleLimit = TimeUnit.MILLISECONDS.toNanos(Math.max(millis / 2, millis - IDLE_MARGIN));
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000));
+    }
+
     private Pool pool(HostList.Host host) {
         return pools.computeIfAbsent(host.number, n -> new Pool());
     }
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -24,6 +24,7 @@
 import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import wrenkeel.Relay;
 
 /**
  * What this relay owes, in one append-only file of the lasting folder, which this process alone writes. What
@@ -44,10 +45,13 @@
      * rewrites.
      */
     private static final double LIVE_SHARE = 0.4;
+    /** Attempts for which a message without its class written down reserves room. */
+    private static final int BARE_TRIES = 16;
     /** Bytes of a send with its outcome, and of an end with its notice. */
     private static final int ATTEMPT_BYTES = (HEAD + 23) + (HEAD + 11), END_BYTES = (HEAD + 18) + (HEAD + 9);
-    private static final byte TAKEN = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5,
-        ORIGIN = 6, ABSORBED = 7, PASSED = 8, WAIT = 9;
+    /** Sort 1: a message by a release that did not write down its class. */
+    private static final byte TAKEN_BARE = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5,
+        ORIGIN = 6, ABSORBED = 7, PASSED = 8, WAIT = 9, TAKEN = 10;
 
     /** One send of a message. {@code sent}: Unix time, ms; {@code zone}: its host's. */
     static final class Attempt {
@@ -68,13 +72,16 @@
     static final class Entry {
         final long number;
         final Message message;
+        /** Under which it was taken; null where only its name was written down. */
+        final Relay.MessageClass rules;
         final List<Attempt> attempts = new ArrayList<>();
         End end;
         private long reserved;
 
-        private Entry(long number, Message message) {
+        private Entry(long number, Message message, Relay.MessageClass rules) {
             this.number = number;
             this.message = message;
+            this.rules = rules;
         }
     }
 
@@ -86,7 +93,6 @@
     private final List<Legacy> legacies = new ArrayList<>();
     /** What was taken over from files that still exist. */
     private final Set<Origin> adopted = new LinkedHashSet<>();
-    private final int mostAttempts;
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
     private FileChannel out;
     /** A write has failed: the file is written anew before the next. */
@@ -97,12 +103,11 @@
     private boolean passing;
 
     /** Begins this process's file; nothing is owed before {@link #adopt}. */
-    Journal(Path folder, long limit, int mostAttempts) throws IOException {
+    Journal(Path folder, long limit) throws IOException {
         this.tenure = Tenure.begin(folder);
         this.file = tenure.file("journal");
         this.fresh = tenure.file("journal.new");
         this.room = limit - CLEAR;
-        this.mostAttempts = mostAttempts;
         for (Tenure.Earlier earlier : tenure.earlier()) {
             legacies.add(new Legacy(earlier));
         }
@@ -209,7 +214,7 @@
 
     /** In one write: a message that is taken over without its attempts could run twice. */
     private Entry adopt(Entry from, Origin origin) throws IOException {
-        Entry entry = new Entry(++last, from.message);
+        Entry entry = new Entry(++last, from.message, from.rules);
         entry.attempts.addAll(from.attempts);
         entry.end = from.end;
         ByteArrayOutputStream records = new ByteArrayOutputStream();
@@ -217,7 +222,7 @@
         write(entry, records::writeBytes);
         write(out, records.toByteArray());
         size = out.position();
-        entry.reserved = reserve(taken(entry).length);
+        entry.reserved = reserve(taken(entry).length, from.rules);
         reserved += entry.reserved;
         entries.put(entry.number, entry);
         return entry;
@@ -271,10 +276,10 @@
     }
 
     /** Writes a message down; null if there is no room for it until its end. */
-    Entry take(Message message) throws IOException {
-        Entry entry = new Entry(last + 1, message);
+    Entry take(Message message, Relay.MessageClass rules) throws IOException {
+        Entry entry = new Entry(last + 1, message, rules);
         byte[] record = taken(entry);
-        entry.reserved = reserve(record.length);
+        entry.reserved = reserve(record.length, rules);
         if (reserved + entry.reserved > room() * LIVE_SHARE) {
             return null;
         }
@@ -323,8 +328,9 @@
         tenure.close();
     }
 
-    private long reserve(int taken) {
-        return taken + (long) mostAttempts * ATTEMPT_BYTES + END_BYTES;
+    private static long reserve(int taken, Relay.MessageClass rules) {
+        int tries = rules == null ? BARE_TRIES : rules.tries();
+        return taken + (long) tries * ATTEMPT_BYTES + END_BYTES;
     }
 
     /** Bytes for this file, beside those of earlier processes that still exist. */
@@ -457,7 +463,11 @@
             long number = in.readLong();
             Entry entry = entries.get(number);
             switch (sort) {
-                case TAKEN -> entries.put(number, new Entry(number, message(in)));
+                case TAKEN_BARE -> entries.put(number, new Entry(number, message(in), null));
+                case TAKEN -> {
+                    Relay.MessageClass rules = rules(in);
+                    entries.put(number, new Entry(number, message(in), rules));
+                }
                 case ORIGIN -> adopted.add(new Origin(in.readLong(), number));
                 case ABSORBED -> absorbed.add(number);
                 case PASSED -> passed.add(number);
@@ -506,7 +516,10 @@
 
     private static byte[] taken(Entry entry) throws IOException {
         Message m = entry.message;
-        return record(TAKEN, entry.number, o -> {
+        return record(entry.rules == null ? TAKEN_BARE : TAKEN, entry.number, o -> {
+            if (entry.rules != null) {
+                rules(o, entry.rules);
+            }
             o.writeUTF(m.id());
             o.writeUTF(m.messageClass());
             o.writeInt(m.tenant());
@@ -519,6 +532,25 @@
         });
     }
 
+    private static void rules(DataOutputStream out, Relay.MessageClass c) throws IOException {
+        out.writeUTF(c.name());
+        out.writeLong(c.aim());
+        out.writeLong(c.life());
+        out.writeDouble(c.worth());
+        out.writeDouble(c.lateWorth());
+        out.writeByte(c.effect().ordinal());
+        out.writeBoolean(c.zoneGroup());
+        out.writeLong(c.window());
+        out.writeBoolean(c.inOrder());
+        out.writeShort(c.tries());
+    }
+
+    private static Relay.MessageClass rules(DataInputStream in) throws IOException {
+        return new Relay.MessageClass(in.readUTF(), in.readLong(), in.readLong(), in.readDouble(),
+            in.readDouble(), Relay.Effect.values()[in.readByte()], in.readBoolean(), in.readLong(),
+            in.readBoolean(), in.readShort());
+    }
+
     private static Message message(DataInputStream in) throws IOException {
         return new Message(in.readUTF(), in.readUTF(), in.readInt(), optional(in), optional(in),
             in.readLong(),
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wrenkeel.Control;
@@ -44,6 +44,7 @@
     /** A message that the module holds, or that has calls out. */
     private static final class Held {
         final Message message;
+        final Relay.MessageClass rules;
         final List<HostPool.Part> calls = new ArrayList<>();
         Journal.Entry entry;
         boolean over;
@@ -51,21 +52,25 @@
         /** Clients that have been told that it is taken on, less those that are known not to have heard. */
         int told;
 
-        Held(Message message, Journal.Entry entry) {
+        Held(Message message, Relay.MessageClass rules, Journal.Entry entry) {
             this.message = message;
+            this.rules = rules;
             this.entry = entry;
         }
     }
 
     private final EventLoop loop;
-    private final Relay.Settings settings;
+    private Relay.Settings settings;
     private final Control control;
     private final HostList hosts;
     private final HostPool pool;
     private final Journal journal;
     private final Discovery discovery;
     private final Figures figures;
-    private final Map<String, Integer> classes = new HashMap<>();
+    /** All classes that the module was told of, by the number that it knows them by. */
+    private final List<Relay.MessageClass> classes = new ArrayList<>();
+    /** Those in force. */
+    private Map<String, Relay.MessageClass> inForce = Map.of();
     private final Map<String, Held> held = new HashMap<>();
     private List<Relay.Event> events = new ArrayList<>();
     private final Map<String, Answer> unanswered = new LinkedHashMap<>();
@@ -88,10 +93,35 @@
         this.journal = journal;
         this.figures = figures;
         this.discovery = agent.open(this::listed, this::noticed);
-        for (int i = 0; i < settings.classes().size(); i++) {
-            classes.put(settings.classes().get(i).name(), i);
+        classes.addAll(settings.classes());
+        enforce();
+    }
+
+    private void enforce() {
+        inForce = settings.classes().stream().collect(Collectors.toMap(Relay.MessageClass::name, c -> c));
+        figures.inForce(inForce.keySet());
+    }
+
+    /** Other settings, and perhaps another address of discovery, bind from the next request on. */
+    void retune(Config next) {
+        // What has been read was handed in under the settings as they were.
+        turn();
+        settings = next.settings();
+        settings.classes().stream().filter(c -> !classes.contains(c)).forEach(classes::add);
+        tell(new Relay.Retuned(settings.with(List.copyOf(classes))));
+        enforce();
+        discovery.moveTo(next.discovery());
+        pool.retune(settings.allowed().connectTimeout(), settings.allowed().keepAlive(),
+            next.descriptors().hosts());
+    }
+
+    /** The module's number for a class, which it is told of first if a message of before brings it. */
+    private int number(Relay.MessageClass rules) {
+        if (!classes.contains(rules)) {
+            classes.add(rules);
+            tell(new Relay.Retuned(settings.with(List.copyOf(classes))));
         }
-        figures.inForce(classes.keySet());
+        return classes.indexOf(rules);
     }
 
     /** Makes the link to discovery, given what it is to call. */
@@ -136,7 +166,7 @@
     private void owed(Journal.Entry entry) {
         if (entry.end != null) {
             discovery.notice(entry);
-        } else if (!classes.containsKey(entry.message.messageClass())) {
+        } else if (entry.rules == null && !inForce.containsKey(entry.message.messageClass())) {
             LOG.warn("message {} given up: its class {} is gone", entry.message.id(),
                 entry.message.messageClass());
             end(entry, new Journal.End(false, 0));
@@ -162,7 +192,8 @@
 
     /** The deadline passes into the module's clock; earlier attempts keep their distance from now. */
     private void recover(Journal.Entry entry) {
-        Held h = new Held(entry.message, entry);
+        String name = entry.message.messageClass();
+        Held h = new Held(entry.message, entry.rules == null ? inForce.get(name) : entry.rules, entry);
         h.told = 1;
         held.put(h.message.id(), h);
         open++;
@@ -171,20 +202,21 @@
             h.calls.add(null);
             earlier.add(new Relay.Earlier(moduleTime(a.sent), a.zone, a.mayHaveRun));
         }
-        tell(accepted(h.message, earlier));
+        tell(accepted(h, earlier));
     }
 
-    private Relay.Accepted accepted(Message m, List<Relay.Earlier> earlier) {
-        return new Relay.Accepted(m.id(), classes.get(m.messageClass()), m.tenant(), m.routeKey(),
+    private Relay.Accepted accepted(Held h, List<Relay.Earlier> earlier) {
+        Message m = h.message;
+        return new Relay.Accepted(m.id(), number(h.rules), m.tenant(), m.routeKey(),
             moduleTime(m.deadline()), m.destination(), earlier);
     }
 
     boolean knows(String messageClass, long destination) {
-        return classes.containsKey(messageClass) && hosts.knows(destination);
+        return inForce.containsKey(messageClass) && hosts.knows(destination);
     }
 
     Relay.MessageClass messageClass(String name) {
-        return classes.containsKey(name) ? settings.classes().get(classes.get(name)) : null;
+        return inForce.get(name);
     }
 
     /** The tenant's number; one that the settings do not name stands past them and has no share. */
@@ -202,10 +234,6 @@
         stopped = true;
     }
 
-    void discoveryAt(InetSocketAddress agent) {
-        discovery.moveTo(agent);
-    }
-
     boolean idle() {
         return open == 0 && !discovery.noticesLeft();
     }
@@ -231,11 +259,11 @@
             answer.refused(COME_BACK);
             return;
         }
-        Held h = new Held(message, null);
+        Held h = new Held(message, inForce.get(message.messageClass()), null);
         held.put(message.id(), h);
         open++;
         unanswered.put(message.id(), answer);
-        tell(accepted(message, List.of()));
+        tell(accepted(h, List.of()));
     }
 
     /**
@@ -326,7 +354,7 @@
         for (String id : List.copyOf(unanswered.keySet())) {
             Held h = held.get(id);
             try {
-                h.entry = journal.take(h.message);
+                h.entry = journal.take(h.message, h.rules);
             } catch (IOException e) {
                 LOG.error("journal cannot be written, message {} refused", id, e);
             }
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -35,7 +35,7 @@
     private final Console console;
     private volatile boolean ready;
     private final Journal journal;
-    private final Config config;
+    private volatile Config config;
     private Loop loop;
     private Server server;
     private Callers clients;
@@ -48,7 +48,7 @@
         if (console != null) {
             LOG.info("operators at {}", consoleAddress());
         }
-        journal = new Journal(config.state(), config.diskBytes(), config.settings().allowed().attempts());
+        journal = new Journal(config.state(), config.diskBytes());
         thread.submit(() -> {
             begin();
             if (journal.earlierServes()) {
@@ -62,7 +62,7 @@
 
     /** Reserves the clients' address, and looks again and again whether the earlier process has left. */
     private void standBy() throws IOException {
-        clients.allow(descriptors().clients() / 2);
+        clients.allow(config.descriptors().clients() / 2);
         door = Door.reserve(config.listen());
         LOG.info("standing by for {}", config.listen());
         ready = true;
@@ -109,14 +109,10 @@
             }
             thread.schedule(this::adoptOn, TURN_OVER, TimeUnit.MILLISECONDS);
         } else {
-            clients.allow(descriptors().clients());
+            clients.allow(config.descriptors().clients());
         }
     }
 
-    private Descriptors descriptors() {
-        return Descriptors.of(config.sockets(), config.settings().allowed().slots());
-    }
-
     /** Serves until the process is told to end; 2 where the configuration is of no use. */
     public static int serve(Map<String, String> env) {
         try {
@@ -139,16 +135,22 @@
         return 2;
     }
 
-    /** Reads the configuration anew: discovery may have moved. One that is of no use changes nothing. */
-    void reload(Map<String, String> env) {
+    /** Reads the configuration anew, whole; one that is of no use changes nothing. */
+    synchronized void reload(Map<String, String> env) {
         try {
-            InetSocketAddress discovery = Config.discovery(env);
+            Config next = config.reread(env);
+            thread.submit(() -> loop.retune(next)).get();
+            config = next;
             figures.reloaded();
-            LOG.info("configuration read anew, discovery is at {}", discovery);
-            thread.execute(() -> loop.discoveryAt(discovery));
+            LOG.info("configuration read anew, discovery is at {}", next.discovery());
         } catch (Config.Unusable e) {
             figures.reloadFailed();
             LOG.error("not reloaded: {}", e.getMessage());
+        } catch (ExecutionException e) {
+            figures.reloadFailed();
+            LOG.error("not reloaded", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -157,12 +159,12 @@
             .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
         HostList hosts = new HostList(config.zones(), config.kinds());
         HostPool pool = new HostPool(thread, calls, config.settings().allowed().connectTimeout(),
-            config.settings().allowed().keepAlive(), descriptors().hosts(), figures);
+            config.settings().allowed().keepAlive(), config.descriptors().hosts(), figures);
         loop = new Loop(thread, config, hosts, pool, journal, figures,
             (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                 whenNoticed));
         loop.start(config.known());
-        clients = new Callers(descriptors().clients());
+        clients = new Callers(config.descriptors().clients());
         server = new Server(loop, clients);
     }
 
@@ -218,7 +220,7 @@
     private void handOver(long by) throws InterruptedException, ExecutionException {
         thread.submit(() -> {
             loop.leave();
-            clients.allow(descriptors().clients() / 2);
+            clients.allow(config.descriptors().clients() / 2);
             return null;
         }).get();
         while (System.nanoTime() < by && !journal.laterServes() && thread.submit(journal::laterWaits).get()) {
--- a/src/test/java/wrenkeel/Bench.java
+++ b/src/test/java/wrenkeel/Bench.java
@@ -21,13 +21,15 @@
 
     static Settings settings(int slots, boolean copies, int relays, int attempts, int open) {
         List<MessageClass> classes = List.of(
-            new MessageClass("a", SECOND, 5 * SECOND, 2, 0, Effect.SAFE, false, 0, false),
-            new MessageClass("b", 4 * SECOND, 16 * SECOND, 1, 0.5, Effect.KEYED, false, 10 * SECOND, false),
-            new MessageClass("c", 3 * SECOND, 28 * SECOND, 4, 0.5, Effect.UNSAFE, false, 0, true),
-            new MessageClass("d", 3 * SECOND, 16 * SECOND, 1, 0.4, Effect.KEYED, true, 10 * SECOND, false));
+            new MessageClass("a", SECOND, 5 * SECOND, 2, 0, Effect.SAFE, false, 0, false, attempts),
+            new MessageClass("b", 4 * SECOND, 16 * SECOND, 1, 0.5, Effect.KEYED, false, 10 * SECOND, false,
+                attempts),
+            new MessageClass("c", 3 * SECOND, 28 * SECOND, 4, 0.5, Effect.UNSAFE, false, 0, true, attempts),
+            new MessageClass("d", 3 * SECOND, 16 * SECOND, 1, 0.4, Effect.KEYED, true, 10 * SECOND, false,
+                attempts));
         return new Settings(0, relays, 0, false, 0.2, Weights.NOMINAL, classes, List.of(new Tenant("t", 50)),
             List.of(new Kind(false, 1), new Kind(true, 1), new Kind(true, 10)),
-            new Allowed(slots, open, attempts, copies, true, 1, 1500 * MS, 10 * SECOND, 3 * SECOND),
+            new Allowed(slots, open, copies, true, 1, 1500 * MS, 10 * SECOND, 3 * SECOND),
             new Rules(250 * MS, 2.5, 3 * SECOND, 0.15, 10 * SECOND, 50 * MS, 20 * MS),
             new Prices(0.05, 0.06, 0, 0.05, List.of(0.0, 0.0)));
     }
--- a/src/test/java/wrenkeel/net/ConsoleTest.java
+++ b/src/test/java/wrenkeel/net/ConsoleTest.java
@@ -57,7 +57,7 @@
         return call(relay.consoleAddress(), "GET /api/ready HTTP/1.1").startsWith("HTTP/1.1 200 ");
     }
 
-    private static Wire.Fields figures(Node relay) throws IOException {
+    static Wire.Fields figures(Node relay) throws IOException {
         String answer = call(relay.consoleAddress(), "GET /api/telemetry HTTP/1.1");
         assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
         return Wire.decode(answer.substring(answer.indexOf("\r\n\r\n") + 4));
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import wrenkeel.Relay;
 
 /** What is owed outlasts the process, within the limit of the folder. */
 class JournalTest {
@@ -17,8 +18,11 @@
     @TempDir
     Path folder;
 
+    private static final Relay.MessageClass RULES = new Relay.MessageClass("bill-post", 2_000_000, 16_000_000, 1.5,
+        0.25, Relay.Effect.KEYED, true, 3_000_000, true, 12);
+
     private Journal open() throws IOException {
-        Journal journal = new Journal(folder, LIMIT, 12);
+        Journal journal = new Journal(folder, LIMIT);
         journal.adopt(entry -> { });
         return journal;
     }
@@ -41,7 +45,7 @@
     @Test
     void allThatIsKnownOfAMessageIsReadBack() throws IOException {
         try (Journal journal = open()) {
-            Journal.Entry entry = journal.take(message("a", 300));
+            Journal.Entry entry = journal.take(message("a", 300), RULES);
             journal.sent(entry, 1_000, 2);
             journal.sent(entry, 2_000, 1);
             journal.notRun(entry, 0);
@@ -53,6 +57,7 @@
                 Journal.Entry entry = only(journal);
                 assertEquals("a", entry.message.id());
                 assertEquals("bill-post", entry.message.messageClass());
+                assertEquals(RULES, entry.rules);
                 assertEquals("house-3", entry.message.routeKey());
                 assertEquals("key-a", entry.message.idempotencyKey());
                 assertEquals(7, entry.message.destination());
@@ -70,9 +75,9 @@
     @Test
     void anEndReadBackIsTheNoticeThatWasOwed() throws IOException {
         try (Journal journal = open()) {
-            journal.ended(journal.take(message("a", 1)), new Journal.End(true, 499_001));
-            journal.ended(journal.take(message("b", 1)), new Journal.End(true, 0));
-            journal.ended(journal.take(message("c", 1)), new Journal.End(false, 0));
+            journal.ended(journal.take(message("a", 1), RULES), new Journal.End(true, 499_001));
+            journal.ended(journal.take(message("b", 1), RULES), new Journal.End(true, 0));
+            journal.ended(journal.take(message("c", 1), RULES), new Journal.End(false, 0));
         }
         try (Journal journal = open()) {
             assertEquals("""
@@ -86,8 +91,8 @@
     @Test
     void whatIsClosedIsForgotten() throws IOException {
         try (Journal journal = open()) {
-            journal.closed(journal.take(message("a", 10)));
-            journal.take(message("b", 10));
+            journal.closed(journal.take(message("a", 10), RULES));
+            journal.take(message("b", 10), RULES);
         }
         try (Journal journal = open()) {
             assertEquals("b", only(journal).message.id());
@@ -98,19 +103,19 @@
     @Test
     void aTornTailIsCutOff() throws IOException {
         try (Journal journal = open()) {
-            journal.take(message("a", 100));
+            journal.take(message("a", 100), RULES);
         }
         long whole;
         try (Journal journal = open()) {
             whole = Files.size(Platform.journal(folder));
-            journal.take(message("b", 100));
+            journal.take(message("b", 100), RULES);
         }
         byte[] both = Files.readAllBytes(Platform.journal(folder));
         for (int length = (int) whole; length < both.length; length++) {
             Files.write(Platform.journal(folder), java.util.Arrays.copyOf(both, length));
             try (Journal journal = open()) {
                 assertEquals("a", only(journal).message.id());
-                journal.take(message("c", 100));
+                journal.take(message("c", 100), RULES);
             }
             try (Journal journal = open()) {
                 assertEquals(2, journal.owed().size());
@@ -123,7 +128,7 @@
     @Test
     void aFailedWriteIsMadeGoodByTheNext() throws IOException {
         try (Journal journal = open()) {
-            Journal.Entry entry = journal.take(message("a", 10));
+            Journal.Entry entry = journal.take(message("a", 10), RULES);
             journal.close();
             assertThrows(IOException.class, () -> journal.sent(entry, 1_000, 0));
             journal.sent(entry, 2_000, 1);
@@ -136,8 +141,8 @@
     @Test
     void aRecordThatDoesNotCheckEndsTheFile() throws IOException {
         try (Journal journal = open()) {
-            journal.take(message("a", 100));
-            journal.take(message("b", 100));
+            journal.take(message("a", 100), RULES);
+            journal.take(message("b", 100), RULES);
         }
         Path file = Platform.journal(folder);
         byte[] bytes = Files.readAllBytes(file);
@@ -153,7 +158,7 @@
     void roomIsReservedAndNeverOverrun() throws IOException {
         try (Journal journal = open()) {
             int taken = 0;
-            while (journal.take(message("m" + taken, 64 * 1024)) != null) {
+            while (journal.take(message("m" + taken, 64 * 1024), RULES) != null) {
                 taken++;
             }
             assertTrue(taken > 10, "only " + taken + " were taken");
@@ -167,7 +172,7 @@
                 Journal.Entry oldest = journal.owed().iterator().next();
                 journal.ended(oldest, new Journal.End(false, 0));
                 journal.closed(oldest);
-                assertNotNull(journal.take(message("n" + round, 64 * 1024)), "a closed message frees its room");
+                assertNotNull(journal.take(message("n" + round, 64 * 1024), RULES), "a closed message frees its room");
                 assertTrue(onDisk() <= LIMIT, onDisk() + " bytes on disk");
             }
         }
@@ -177,7 +182,7 @@
     @Test
     void aJournalOfTheReleaseBeforeIsTakenOver() throws IOException {
         try (Journal journal = open()) {
-            journal.sent(journal.take(message("a", 100)), 1_000, 0);
+            journal.sent(journal.take(message("a", 100), null), 1_000, 0);
         }
         Files.move(Platform.journal(folder), folder.resolve("journal"));
         Files.writeString(folder.resolve("journal.new"), "cut off");
@@ -191,9 +196,9 @@
     /** Guards the one owner: what a living process has not passed on is not touched, nor is its file. */
     @Test
     void onlyWhatIsPassedOnIsTakenOverFromAProcessThatLives() throws IOException {
-        try (Journal old = open(); Journal next = new Journal(folder, LIMIT, 12)) {
-            Journal.Entry out = old.take(message("out", 10));
-            Journal.Entry waits = old.take(message("waits", 10));
+        try (Journal old = open(); Journal next = new Journal(folder, LIMIT)) {
+            Journal.Entry out = old.take(message("out", 10), RULES);
+            Journal.Entry waits = old.take(message("waits", 10), RULES);
             assertTrue(next.earlierServes());
             assertTrue(old.laterWaits());
             old.beginPassing();
@@ -225,9 +230,9 @@
     @Test
     void whatWasTakenOverIsNotTakenOverAgainAfterTheTakerWasKilled() throws IOException {
         Journal old = open();
-        Journal.Entry first = old.take(message("first", 10));
-        old.take(message("second", 10));
-        Journal next = new Journal(folder, LIMIT, 12);
+        Journal.Entry first = old.take(message("first", 10), RULES);
+        old.take(message("second", 10), RULES);
+        Journal next = new Journal(folder, LIMIT);
         old.beginPassing();
         old.passed(first);
         old.leave("{}");
@@ -251,7 +256,7 @@
     @Test
     void aLaterProcessThatHasEndedDoesNotWait() throws IOException {
         try (Journal old = open()) {
-            new Journal(folder, LIMIT, 12).close();
+            new Journal(folder, LIMIT).close();
             assertFalse(old.laterWaits());
         }
     }
--- a/src/test/java/wrenkeel/net/LoopTest.java
+++ b/src/test/java/wrenkeel/net/LoopTest.java
@@ -35,7 +35,7 @@
         platform = new Platform(folder);
         host = new Host();
         Config config = platform.config(Platform.host("s-1", host.port(), 7, "ready"));
-        journal = new Journal(config.state(), config.diskBytes(), 12);
+        journal = new Journal(config.state(), config.diskBytes());
         Bootstrap calls = new Bootstrap().group(thread);
         inOnePass(() -> {
             HostList hosts = new HostList(config.zones(), config.kinds());
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -413,4 +413,79 @@
             assertTrue(System.nanoTime() - told >= TimeUnit.MILLISECONDS.toNanos(3_400));
         }
     }
+
+    private void rewrite(String from, String to) throws IOException {
+        Path file = folder.resolve("config.json");
+        String before = Files.readString(file);
+        assertTrue(before.contains(from), from);
+        Files.writeString(file, before.replace(from, to));
+    }
+
+    private static final String PAY = "{\"name\":\"pay\"", TRIES = "\"most-tries\":12";
+
+    /** Guards what a class promises: a message keeps the one it was taken under, new ones have the new one. */
+    @Test
+    void aReloadBringsClassesAndMessagesKeepTheirs() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertTrue(client.post("x", "rush", 7, 16_000).get(0).startsWith("HTTP/1.1 404 "));
+        }
+        Node relay = relay();
+        try (var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("before", "pay", 7, 60_000).get(0));
+            host.call().answer("HTTP/1.1 429 Too Many Requests\r\nRetry-After: 50\r\nContent-Length: 0\r\n\r\n");
+            // The unsafe class goes, one of its name that may be repeated comes, and a further one.
+            rewrite(PAY + ",\"aim\":2000,\"hard-limit\":16000,\"semantics\":\"fragile\"}",
+                "{\"name\":\"rush\",\"aim\":500,\"hard-limit\":900,\"semantics\":\"retryable\"}");
+            relay.reload(platform.env());
+            assertTrue(ConsoleTest.figures(relay).object("completed").values().containsKey("rush"));
+            assertEquals(TAKEN, client.post("after", "rush", 7, 900).get(0));
+        }
+        try (var client = new Platform.Client(relay)) {
+            assertTrue(client.post("late", "pay", 7, 16_000).get(0).startsWith("HTTP/1.1 404 "));
+        }
+        relay.close();
+        // The class of the first is in no configuration any more: it is known from the journal.
+        try (Node next = relay()) {
+            next.reload(platform.env());
+            List<String> sent = new java.util.ArrayList<>();
+            while (!sent.contains("before")) {
+                Host.Call call = host.call();
+                sent.add(call.header("X-Request-ID"));
+                call.answer(Host.OK);
+            }
+            awaitClosedJournal(next);
+        }
+    }
+
+    /** Guards a relay in service: of a file with a fault nothing is taken, not even where discovery is. */
+    @Test
+    void nothingOfABrokenFileIsTaken() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            Path file = folder.resolve("config.json");
+            String good = Files.readString(file);
+            String moved = good.replaceFirst("\"discovery\":\"127.0.0.1:\\d+\"", "\"discovery\":\"127.0.0.1:9\"")
+                .replace(PAY, "{\"name\":\"other\"");
+            List<String> broken = List.of("", moved.substring(0, moved.length() / 2), "[]",
+                moved.replace("\"limits\"", "\"unlimited\""), moved.replace("\"settings\"", "\"set\""),
+                moved.replace("\"discovery\"", "\"elsewhere\""), moved.replace("\"profiles\"", "\"classes\""),
+                moved.replace("\"rules\"", "\"customs\""), moved.replace("\"open-cap\"", "\"cap\""),
+                moved.replace("\"hard-limit\":16000", "\"hard-limit\":-5"),
+                moved.replace("\"hard-limit\":16000", "\"hard-limit\":\"soon\""),
+                moved.replace("\"hard-limit\":16000,", ""), moved.replace(TRIES, "\"most-tries\":0"),
+                moved.replace(TRIES, "\"most-tries\":\"many\""), moved.replace(TRIES, "\"most-tries\":null"),
+                moved.replace("fragile", "wobbly"), moved.replace("\"window\":15000", "\"window\":0"),
+                moved.replace("[\"m1\",\"m2\",\"m3\"]", "[\"m1\"]"));
+            for (String text : broken) {
+                Files.writeString(file, text);
+                relay.reload(platform.env());
+            }
+            assertEquals(broken.size(), ConsoleTest.figures(relay).whole("config_reload_errors"));
+            assertEquals(0, ConsoleTest.figures(relay).whole("config_reloads"));
+            assertEquals(TAKEN, client.post("a", "pay", 7, 300).get(0));
+            assertEquals("{\"message\":\"a\",\"outcome\":\"given_up\"}", platform.notice(), "told where it was");
+            Files.writeString(file, good);
+            relay.reload(platform.env());
+            assertEquals(1, ConsoleTest.figures(relay).whole("config_reloads"));
+        }
+    }
 }
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -128,7 +128,7 @@
 
     /** What a relay that has ended left behind. */
     Journal leftBehind() throws IOException {
-        Journal journal = new Journal(folder.resolve("state"), 3_000_000, 12);
+        Journal journal = new Journal(folder.resolve("state"), 3_000_000);
         journal.adopt(entry -> { });
         return journal;
     }
