--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -40,6 +40,8 @@
     private Server server;
     private Callers clients;
     private Door door;
+    /** False while it stands by. */
+    private boolean serving;
 
     /** Takes up what the lasting folder holds, and serves; or stands by while an earlier process serves. */
     Node(Config config) throws IOException, InterruptedException, ExecutionException {
@@ -94,6 +96,7 @@
         }
         door = Door.open(config.listen(), thread, server);
         journal.takenOver();
+        serving = true;
         ready = true;
         LOG.info("serving on {}, {} messages taken up", address(), journal.size());
         adoptOn();
@@ -193,7 +196,9 @@
         ready = false;
         try {
             thread.submit(server::leave).get();
-            if (thread.submit(journal::laterWaits).get()) {
+            if (!thread.submit(() -> serving).get()) {
+                LOG.info("told to end while standing by");
+            } else if (thread.submit(journal::laterWaits).get()) {
                 handOver(by);
             } else {
                 Thread.sleep(SERVE_ON);
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -127,12 +127,12 @@
     /** Guards the numbers of attempts: one whose record failed never ran, and what follows is not taken for it. */
     @Test
     void aFailedWriteIsMadeGoodByTheNext() throws IOException {
-        try (Journal journal = open()) {
-            Journal.Entry entry = journal.take(message("a", 10), RULES);
-            journal.close();
-            assertThrows(IOException.class, () -> journal.sent(entry, 1_000, 0));
-            journal.sent(entry, 2_000, 1);
-        }
+        Journal before = open();
+        Journal.Entry entry = before.take(message("a", 10), RULES);
+        before.close();
+        assertThrows(IOException.class, () -> before.sent(entry, 1_000, 0));
+        before.sent(entry, 2_000, 1);
+        before.close();
         try (Journal journal = open()) {
             assertEquals(List.of(false, true), only(journal).attempts.stream().map(a -> a.mayHaveRun).toList());
         }
@@ -196,7 +196,8 @@
     /** Guards the one owner: what a living process has not passed on is not touched, nor is its file. */
     @Test
     void onlyWhatIsPassedOnIsTakenOverFromAProcessThatLives() throws IOException {
-        try (Journal old = open(); Journal next = new Journal(folder, LIMIT)) {
+        Journal old = open();
+        try (Journal next = new Journal(folder, LIMIT)) {
             Journal.Entry out = old.take(message("out", 10), RULES);
             Journal.Entry waits = old.take(message("waits", 10), RULES);
             assertTrue(next.earlierServes());
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -208,6 +208,7 @@
             }
         }
         try (Node relay = relay()) {
+            assertFalse(relay.idle());
             assertEquals("a", host.call().header("X-Request-ID"));
         }
     }
@@ -221,6 +222,7 @@
         Thread.sleep(400);
         try (Node relay = relay()) {
             assertEquals("{\"message\":\"a\",\"outcome\":\"given_up\"}", platform.notice());
+            awaitClosedJournal(relay);
         }
     }
 
@@ -398,6 +400,20 @@
         }
     }
 
+    /** Guards the process in service against one that is called off before it took over. */
+    @Test
+    void aProcessThatIsToldToEndWhileItStandsByLeavesTheOtherAlone() throws Exception {
+        Config config = shared();
+        try (Node old = new Node(config); var client = new Platform.Client(old)) {
+            Node next = new Node(config);
+            awaitReady(next);
+            next.leave();
+            assertEquals(TAKEN, client.post("a", "bill", 7, 60_000).get(0));
+            host.call().answer(Host.OK);
+            awaitClosedJournal(old);
+        }
+    }
+
     /** Guards the wait that a partner told: it binds whichever process heard it. */
     @Test
     void aWaitIsHeededByTheProcessThatTakesOver() throws Exception {
