--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -31,8 +31,11 @@
 final class Server extends ChannelInitializer<Channel> {
     private static final Logger LOG = LoggerFactory.getLogger(Server.class);
     private static final int BODY_MOST = 64 * 1024, ID_MOST = 128, KEY_MOST = 256;
-    /** ms; without a request, a connection may be closed after 2 s, and must be within 3 s. */
-    private static final long REQUEST_WITHIN = 2_200;
+    /**
+     * ms; without a request a connection must be closed within 3 s. Some clients write theirs in 2 s, and
+     * a busy relay reads its last byte late.
+     */
+    private static final long REQUEST_WITHIN = 2_600;
     /** ms; a longer time for a message is taken for a mistake. */
     private static final long TIME_MOST = 3_600_000;
     /** ms; a client hears of its message at most 400 ms after sending it, and an end may come 300 ms late. */
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -407,10 +407,15 @@
         try (Node old = new Node(config); var client = new Platform.Client(old)) {
             Node next = new Node(config);
             awaitReady(next);
-            next.leave();
-            assertEquals(TAKEN, client.post("a", "bill", 7, 60_000).get(0));
-            host.call().answer(Host.OK);
-            awaitClosedJournal(old);
+            try (Node third = new Node(config)) {
+                awaitReady(third);
+                next.leave();
+                // It had nothing to pass on, and must not have told anybody to take over.
+                assertFalse(Files.exists(folder.resolve("state").resolve("leaving.2")));
+                assertEquals(TAKEN, client.post("a", "bill", 7, 60_000).get(0));
+                host.call().answer(Host.OK);
+                awaitClosedJournal(old);
+            }
         }
     }
 
--- a/src/test/java/wrenkeel/net/RequestDeadlineTest.java
+++ b/src/test/java/wrenkeel/net/RequestDeadlineTest.java
@@ -57,6 +57,19 @@
         assertFalse(channel.isOpen());
     }
 
+    /** Guards messages that are written in 2 s and read a little later: a busy relay must not cut them off. */
+    @Test
+    void aRequestThatTakesTwoSecondsIsServed() {
+        EmbeddedChannel channel = client();
+        for (int i = 0; i < REQUEST.length(); i++) {
+            channel.writeInbound(bytes(REQUEST.substring(i, i + 1)));
+            pass(channel, 2_400 / REQUEST.length());
+        }
+        FullHttpRequest request = channel.readInbound();
+        assertNotNull(request);
+        request.release();
+    }
+
     @Test
     void anOpenRequestIsNotCutOffAndAnAnsweredOneStartsTheTimeAnew() {
         EmbeddedChannel channel = client();
