Count as unavailable what drains or is out, not each pause for a limit

Ruled out a stale figure: it is read every 0.1 s. With told waits each partner at its limit counted, and staff could not tell an outage from it.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -147,12 +147,12 @@
         return out;
     }
 
-    /** How many listed endpoints are avoided now: draining, failing, or with a told wait to heed. */
-    public int unavailable(long time) {
+    /** How many listed endpoints are avoided now: draining, or out; a pause for a limit does not count. */
+    public int unavailable() {
         int count = 0;
         for (Route r : routes.values()) {
             boolean listed = r.dest.routes.get(r.id) == r;
-            count += listed && (!r.ready || r.health == Health.OUT || r.lane.waitUntil > time) ? 1 : 0;
+            count += listed && (!r.ready || r.health == Health.OUT && r.confirmed) ? 1 : 0;
         }
         return count;
     }
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -140,7 +140,7 @@
     }
 
     private void stand() {
-        figures.stands(journal.size(), hosts.listed(), control.unavailable(now()));
+        figures.stands(journal.size(), hosts.listed(), control.unavailable());
     }
 
     /** Goes on with what processes before this one have left, once they have ended or passed it on. */
