Let a limit not met yet give way to what comes in and to what it has carried

At fault: Control.add, which took the starting pace for a limit already met, so that the cubic held the relays to it. Until the first refusal the pace is now twice what comes in, or has been carried.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -762,10 +762,17 @@
 
     /**
      * Where no rate is listed: back from the dip to where the limit was last met, slowly past it, then
-     * faster. Refusals sum up over a fleet: the more relays, the more calls from one to the next.
+     * faster. Refusals sum up over a fleet: the more relays, the more calls from one to the next. A limit
+     * not met yet gives way to what usually comes in, and to a multiple of what it has carried.
      */
-    private void regain(Lane lane) {
-        if (set.weights() == Weights.NONE) {
+    private void regain(Route r) {
+        Lane lane = r.lane;
+        if (set.weights() == Weights.NONE && lane.met == 0) {
+            int bundle = set.kinds().get(r.kind).bundle();
+            double start = (bundle > 1 ? START_BUNDLES : START_TOGETHER) / set.relays();
+            double seen = Math.max(r.dest.usualRate / bundle, lane.rate(now, PACE_SPAN));
+            lane.pace = Math.max(start, PACE_AHEAD * seen);
+        } else if (set.weights() == Weights.NONE) {
             double span = (PROBE_CALLS + set.relays()) / lane.met * SECOND;
             span = Math.max(PROBE_LEAST, Math.min(PROBE_MOST, span));
             double past = (now - lane.metAt) / span - 1;
@@ -903,7 +910,7 @@
         if (r.health != Health.GOOD && r.confirmed && !joins) {
             when = Math.max(when, budgetAt(r));
         }
-        regain(lane);
+        regain(r);
         lane.bucket.fill(lane.pace, Math.max(2, lane.pace * PACE_BURST), now);
         if (!joins && lane.bucket.tokens < 1) {
             when = Math.max(when, now + (long) ((1 - lane.bucket.tokens) / lane.pace * SECOND) + 1);
@@ -960,7 +967,8 @@
         r.backoffUntil = Math.max(r.backoffUntil, e.closedUntil());
         if (e.pace() > 0) {
             r.lane.pace = Math.min(r.lane.pace, e.pace());
-            r.lane.met = Math.min(r.lane.met, e.pace());
+            r.lane.met = set.weights() == Weights.NONE ? e.pace() : 0;
+            r.lane.metAt = now;
             r.latency = e.latency();
             r.dest.latest = Math.max(r.dest.latest, e.latency());
             r.dest.window = Math.max(r.dest.window, e.window());
@@ -1014,11 +1022,7 @@
         r.dest.shared = apart ? r.dest.shared : r.lane;
         if (r.lane.pace == 0) {
             r.lane.weight = p.weight();
-            boolean bundles = set.kinds().get(p.kind()).bundle() > 1;
-            r.lane.met = (bundles ? START_BUNDLES : START_TOGETHER) / set.relays();
-            r.lane.metAt = now;
-            r.lane.pace = set.weights() == Weights.NONE ? r.lane.met
-                : PACE_START * paceLeast(r.lane) / PACE_LEAST;
+            r.lane.pace = PACE_START * paceLeast(r.lane) / PACE_LEAST;
         }
         // A new endpoint is cold, and the messages held for a failing destination would all go there at once.
         if (!r.dest.routes.isEmpty() && !sound(r.dest)) {
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -320,15 +320,27 @@
         assertTrue(callsInASecond(unlisted(14, 0)) <= 6, "one of many waits for what it learns");
     }
 
+    /** Guards a busy place: what no refusal has spoken against is not held to the starting pace. */
+    @Test
+    void aPlaceThatTakesAllThatComesInIsNotHeldToTheStartingPace() {
+        Bench b = unlisted(14, 0);
+        int calls = 0;
+        for (int second = 0; second < 6; second++) {
+            calls = callsInASecond(b);
+        }
+        assertTrue(calls >= 12, "calls in the sixth second of twelve messages each: " + calls);
+    }
+
     /** Calls that are all answered, of twelve messages in a second. */
     private static int callsInASecond(Bench b) {
         int calls = 0;
         for (int i = 0; i < 12; i++) {
-            for (Send send : sends(b.turn(b.message(1, 1)))) {
-                calls++;
-                b.turn(ended(send, 0, Outcome.OK));
+            List<Send> sent = new ArrayList<>(sends(b.turn(b.message(1, 1))));
+            sent.addAll(sends(b.pass(80 * MS)));
+            for (int next = 0; next < sent.size(); next++) {
+                sent.addAll(sends(b.turn(ended(sent.get(next), 0, Outcome.OK))));
             }
-            b.pass(80 * MS);
+            calls += sent.size();
         }
         return calls;
     }
