Give a partner that is back more than one call a relay: its budget is the limit there

At fault: Control.room, which counted a partner that answers again as failing. Ruled out: pace (unmet: twice what comes in) and the return budget (none where no rate is listed).

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -659,7 +659,8 @@
     // ---- Window and pace ------------------------------------------------------------------------
     /** Calls that a destination may have out: its window, under a cap lower while failing or slow. */
     private int room(Dest d) {
-        boolean poor = slow(d) || 2 * d.overdue > d.calls || !sound(d);
+        boolean out = d.routes.values().stream().allMatch(r -> r.health == Health.OUT);
+        boolean poor = slow(d) || 2 * d.overdue > d.calls || out;
         // Guards the slots against places that take calls and do not answer, before a time-out tells.
         double cap = (poor ? WINDOW_POOR : WINDOW_SHARE) * set.allowed().slots();
         return (int) Math.max(1, Math.min(d.window, cap));
