--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -771,7 +771,7 @@
         if (set.weights() == Weights.NONE && lane.met == 0) {
             int bundle = set.kinds().get(r.kind).bundle();
             double start = (bundle > 1 ? START_BUNDLES : START_TOGETHER) / set.relays();
-            double seen = Math.max(r.dest.usualRate / bundle, lane.rate(now, PACE_SPAN));
+            double seen = Math.max(r.dest.usualRate / bundle, lane.rate(now, PACE_SPAN, PACE_SPAN));
             lane.pace = Math.max(start, PACE_AHEAD * seen);
         } else if (set.weights() == Weights.NONE) {
             double span = (PROBE_CALLS + set.relays()) / lane.met * SECOND;
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -158,8 +158,13 @@
 
         /** Calls a second of late, of a lane that may be younger than the span. */
         double rate(long now, long span) {
+            return rate(now, span, 1);
+        }
+
+        /** The same, of a lane taken to be of some age: a first call or two make no rate. */
+        double rate(long now, long span, long leastAge) {
             double counted = calls * Math.exp((double) (calledAt - now) / span);
-            return counted * 1e6 / (span * -Math.expm1(-(double) Math.max(1, now - firstAt) / span));
+            return counted * 1e6 / (span * -Math.expm1(-(double) Math.max(leastAge, now - firstAt) / span));
         }
     }
 
