--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -85,6 +85,8 @@
     private static final double KEEP_USES = 0.5;
     /** The span for which they are held: its cut at a failed connect, its growth at an answer. */
     private static final double HOLD_CUT = 0.5, HOLD_GROW = 1.02;
+    /** us; and the least: one used again sooner harms nobody, and an outage fails connects without end. */
+    private static final double HOLD_LEAST = 2 * SECOND;
     /** us; least idle time for which a connection may be taken for dropped; trust per idle time proven. */
     private static final double TRUST_LEAST = 250 * MS, TRUST_PROVEN = 1.25;
     /** us; least gap between trials of a route; a suspicion cleared within this leaves no ramp. */
@@ -708,7 +710,7 @@
                 failed(a);
             }
             case CONNECT_FAILED -> {
-                holds[kind] *= HOLD_CUT;
+                holds[kind] = Math.max(HOLD_LEAST, holds[kind] * HOLD_CUT);
                 failed(a);
                 a.route.backoffUntil = now + backoff(d, a.route.failRun);
             }
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -584,6 +584,26 @@
         assertEquals(1, count(b.turn(ended(s, 0, Outcome.OK)), Close.class), "not kept for another relay's harm");
     }
 
+    /** Guards handshakes: an outage, in which every connect fails, is no sign of partners that take few connections. */
+    @Test
+    void anOutageDoesNotMakeBusyConnectionsShortLived() {
+        Bench b = new Bench(settings(8, true, 14));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 600), endpoint(12, 0, 1, 2, 600))));
+        b.warmUp(20, 2);
+        for (int i = 0; i < 20; i++) {
+            Accepted m = b.message(2, 1);
+            b.turn(ended(firstSend(b, m), 0, Outcome.CONNECT_FAILED), new Withdrawn(m.id()));
+        }
+        b.warmUp(20, 2);
+        int closed = 0;
+        for (int i = 0; i < 20; i++) {
+            Send s = firstSend(b, b.message(2, 2));
+            closed += (int) count(b.turn(ended(s, 0, Outcome.OK)), Close.class);
+            b.pass(400 * MS);
+        }
+        assertEquals(0, closed, "each is used again in less than half a second");
+    }
+
     /** thu-duc-later: a call on a connection idle for long fails where these are dropped unseen. */
     @Test
     void aLongIdleConnectionIsDoubtedAfterAFailureOnOneAndTrustComesBack() {
