Learn no limit from what a cold partner refuses

At fault: Control.refused, which took the few calls made around an outage for the rate at which the limit was met. Ruled out: connections (46 held), the window.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -791,8 +791,9 @@
         }
         if (set.weights() != Weights.NONE) {
             lane.pace = Math.max(paceLeast(lane), lane.pace * PACE_CUT);
-        } else if (a.sent >= lane.metAt) {
-            // What was sent of late was too much; calls already out then say nothing new.
+        } else if (a.sent >= lane.metAt && a.route.health == Health.GOOD) {
+            // What was sent of late was too much; calls already out then say nothing new, and what a cold
+            // partner bears is no limit.
             double met = Math.min(lane.pace, lane.rate(now, PACE_SPAN)) * (d.refusals > 1 ? LIMIT_DROP : 1);
             // No slower than what comes in, in full bundles: else it is the pace that makes messages late.
             // Many relays that each insist on that would run into a limit below it all the time.
