Approach a limit not met yet by doubling a second, not by the backlog after a restart

At fault: Control.regain, whose bound for a limit not met yet is what comes in, and that is then the backlog. Ruled out: start-up CPU alone (ready after 1.2 s), lists, connections (90 a second at most).

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -774,7 +774,9 @@
             int bundle = set.kinds().get(r.kind).bundle();
             double start = (bundle > 1 ? START_BUNDLES : START_TOGETHER) / set.relays();
             double seen = Math.max(r.dest.usualRate / bundle, lane.rate(now, PACE_SPAN, PACE_SPAN));
-            lane.pace = Math.max(start, PACE_AHEAD * seen);
+            // After a restart all relays hold what came in meanwhile: that is no rate to begin with.
+            double bound = start * Math.pow(PACE_AHEAD, (double) lane.age(now) / SECOND);
+            lane.pace = Math.min(bound, Math.max(start, PACE_AHEAD * seen));
         } else if (set.weights() == Weights.NONE) {
             double span = (PROBE_CALLS + set.relays()) / lane.met * SECOND;
             span = Math.max(PROBE_LEAST, Math.min(PROBE_MOST, span));
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -156,6 +156,11 @@
             firstAt = firstAt < 0 ? now : firstAt;
         }
 
+        /** How long ago its first call was made; 0 before that. */
+        long age(long now) {
+            return firstAt < 0 ? 0 : now - firstAt;
+        }
+
         /** Calls a second of late, of a lane that may be younger than the span. */
         double rate(long now, long span) {
             return rate(now, span, 1);
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -321,6 +321,26 @@
         assertTrue(shared <= 8, "one of many waits for what it learns: " + shared);
     }
 
+    /** Guards partners of relays that come back together, each with what its clients hand in again at once. */
+    @Test
+    void aBacklogAtTheStartIsNoRateToBeginWith() {
+        Bench b = unlisted(14, 0);
+        List<Event> backlog = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            backlog.add(b.message(1, 1));
+        }
+        List<Send> out = sends(b.turn(backlog));
+        int calls = 0;
+        for (long end = b.now + SECOND; b.now < end;) {
+            calls += out.size();
+            List<Event> answers = new ArrayList<>();
+            out.forEach(send -> answers.add(ended(send, 0, Outcome.OK)));
+            out = new ArrayList<>(answers.isEmpty() ? List.of() : sends(b.turn(answers)));
+            out.addAll(sends(b.pass(20 * MS)));
+        }
+        assertTrue(calls > 1 && calls <= 9, "calls in the first second: " + calls);
+    }
+
     /** Guards a busy place: what no refusal has spoken against is not held to the starting pace. */
     @Test
     void aPlaceThatTakesAllThatComesInIsNotHeldToTheStartingPace() {
