Use hosts of sites that the settings do not name, and take a reload that names more

Seen in the code while going through the full fleet's terms, which allow more zones than the site names: HostList.endpoint left out every host whose site was not among the settings' localities, so that all traffic of a destination there would have waited until it was given up, and Config.reread refused a SIGHUP's file whose localities had grown, so that discovery would not have moved.

A file may name further sites; one that changes the order of those in force is refused as before.

--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -64,15 +64,17 @@
     /**
      * Reads the file anew for a process that runs, whole or not at all. Discovery is where the file says, for
      * the environment is that of the start. The file must have every key that the one in force has, and must
-     * not change the sites and kinds: the list's endpoints are known by them.
+     * not change the kinds and the order of the sites: the list's endpoints are known by them. It may name
+     * further sites; hosts there keep the numbers that sites without a name have.
      */
     Config reread(Map<String, String> env) throws Unusable {
         Map<String, String> folders = new HashMap<>(env);
         folders.keySet().retainAll(Set.of("EDGE_CONFIG", "EDGE_STATE"));
         Config next = read(folders);
         complete("", file, next.file);
-        if (!next.zones.equals(zones) || !next.kinds.equals(kinds)) {
-            throw new Unusable("localities and kinds cannot change while the relay runs");
+        int named = Math.min(zones.size(), next.zones.size());
+        if (!next.zones.subList(0, named).equals(zones.subList(0, named)) || !next.kinds.equals(kinds)) {
+            throw new Unusable("kinds and the order of localities cannot change while the relay runs");
         }
         return new Config(listen, next.discovery, console, state, seed, next.sockets, next.diskBytes,
             next.settings, zones, kinds, next.known, next.file);
--- a/src/main/java/wrenkeel/net/HostList.java
+++ b/src/main/java/wrenkeel/net/HostList.java
@@ -18,6 +18,8 @@
 /** The hosts that discovery has named: number, address and standing of each. */
 final class HostList {
     private static final Logger LOG = LoggerFactory.getLogger(HostList.class);
+    /** Set in the numbers of sites that the settings do not name. */
+    private static final int UNNAMED = 1 << 30;
 
     /** One host; {@code number} is what the module knows it by. */
     static final class Host {
@@ -120,14 +122,14 @@
             case "gone" -> Relay.Listing.GONE;
             default -> null;
         };
-        int zone = zones.indexOf(entry.text("site", ""));
+        int zone = zone(entry.text("site", ""));
         int kind = kinds.indexOf(entry.text("class", ""));
         Host host = byName.get(name);
         if (listing == Relay.Listing.GONE && host == null) {
             return null;
         }
-        if (listing == null || listing != Relay.Listing.GONE && (zone < 0 || kind < 0)) {
-            LOG.warn("list entry of host {} left out: site, class or health is not known", name);
+        if (listing == null || listing != Relay.Listing.GONE && kind < 0) {
+            LOG.warn("list entry of host {} left out: class or health is not known", name);
             return null;
         }
         if (host == null) {
@@ -150,11 +152,25 @@
             host.destination = entry.whole("block");
             destinations.add(host.destination);
         }
-        return new Relay.Endpoint(host.number, Math.max(0, zone), Math.max(0, kind), entry.whole("block", 0),
-            listing,
+        return new Relay.Endpoint(host.number, zone, Math.max(0, kind), entry.whole("block", 0), listing,
             entry.number("share", 1));
     }
 
+    /**
+     * The place of a site among those that the settings name. The list may hold more sites than that: such a
+     * one has a number past them, which is the same after a restart, for the journal holds it.
+     */
+    private int zone(String site) {
+        int named = zones.indexOf(site);
+        return named >= 0 ? named : UNNAMED | (int) crc(site) & UNNAMED - 1;
+    }
+
+    private static long crc(String text) {
+        CRC32 crc = new CRC32();
+        crc.update(text.getBytes(StandardCharsets.UTF_8));
+        return crc.getValue();
+    }
+
     /**
      * A number below 2^32 that is the same at every relay; of two names that collide the later one is hashed
      * on.
--- a/src/test/java/wrenkeel/net/HostListTest.java
+++ b/src/test/java/wrenkeel/net/HostListTest.java
@@ -51,4 +51,18 @@
         assertTrue(list.knows(7), "a destination stays known while its hosts are gone");
         assertEquals(2, list.version());
     }
+
+    /** A fleet may reach into sites that the settings do not name: their hosts are used, and told apart by site. */
+    @Test
+    void aHostOfASiteWithoutANameIsListedAsOfASiteOfItsOwn() throws Wire.Malformed {
+        String named = Platform.host("s-1", 80, 7, "ready");
+        String far = Platform.host("s-2", 80, 7, "ready").replace("\"site\":\"a\"", "\"site\":\"far\"");
+        String farther = Platform.host("s-3", 80, 7, "ready").replace("\"site\":\"a\"", "\"site\":\"farther\"");
+        List<Integer> zones = update(list(), Platform.list(1, true, named, far, farther)).endpoints().stream()
+            .map(Relay.Endpoint::zone).toList();
+        assertEquals(3, zones.stream().distinct().count());
+        assertEquals(0, zones.get(0));
+        assertEquals(zones.get(1), update(list(), Platform.list(1, true, far)).endpoints().get(0).zone(),
+            "the number is the same after a restart");
+    }
 }
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -509,4 +509,19 @@
             assertEquals(1, ConsoleTest.figures(relay).whole("config_reloads"));
         }
     }
+
+    /** A fleet grows into further sites: that alone must not make a relay keep the settings of before. */
+    @Test
+    void aReloadMayNameFurtherSitesButNotMixUpThoseInForce() throws Exception {
+        try (Node relay = relay()) {
+            Path file = Path.of(platform.env().get("EDGE_CONFIG"));
+            String named = Files.readString(file);
+            Files.writeString(file, named.replace("[\"a\",\"b\"]", "[\"a\",\"b\",\"c\"]"));
+            relay.reload(platform.env());
+            assertEquals(1, ConsoleTest.figures(relay).whole("config_reloads"));
+            Files.writeString(file, named.replace("[\"a\",\"b\"]", "[\"b\",\"a\"]"));
+            relay.reload(platform.env());
+            assertEquals(1, ConsoleTest.figures(relay).whole("config_reload_errors"));
+        }
+    }
 }
