Start each of many relays with part of a call in its bucket, not two calls at once

Told waits of one partner all end at one instant and the next windows are half used (26 calls in a span with no refusal before it, 8 to 12 after one): refused calls use up the limit. A lane's bucket was full at its first use (Control.opens, two calls at least), so that a hundred relays that begin together may send two hundred calls at once to each partner, whatever the shared starting pace.

Now a lane of one of many relays begins with a random part of a call.

Ruled out: refusals of new connections only (most come on kept ones).

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -1029,6 +1029,10 @@
         if (r.lane.pace == 0) {
             r.lane.weight = p.weight();
             r.lane.pace = PACE_START * paceLeast(r.lane) / PACE_LEAST;
+            if (set.relays() > INSISTENT) {
+                // A first call of each relay at once, out of a full bucket, would be more than a place bears.
+                r.lane.bucket.fill(0, random.nextDouble(), now);
+            }
         }
         // A new endpoint is cold, and the messages held for a failing destination would all go there at once.
         if (!r.dest.routes.isEmpty() && !sound(r.dest)) {
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -256,9 +256,13 @@
     }
 
     private static Bench unlisted(int relays, int kind) {
+        return unlisted(relays, kind, 1);
+    }
+
+    private static Bench unlisted(int relays, int kind, long seed) {
         Settings s = settings(8, false, relays);
         Bench b = new Bench(new Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(),
-            Weights.NONE, s.classes(), s.tenants(), s.kinds(), s.allowed(), s.rules(), s.prices()));
+            Weights.NONE, s.classes(), s.tenants(), s.kinds(), s.allowed(), s.rules(), s.prices()), seed);
         b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, kind, 1, 1))));
         return b;
     }
@@ -321,6 +325,17 @@
         assertTrue(shared <= 8, "one of many waits for what it learns: " + shared);
     }
 
+    /** Guards a place that a hundred relays meet at once: the first call of each would use its limit up for seconds. */
+    @Test
+    void theFirstCallsOfAFleetAreSpreadOverTime() {
+        int calls = 0;
+        for (int relay = 0; relay < 100; relay++) {
+            Bench b = unlisted(100, 0, relay);
+            calls += sends(b.turn(b.message(1, 1))).size() + sends(b.pass(100 * MS)).size();
+        }
+        assertTrue(calls <= 20, "calls of a hundred relays in a tenth of a second: " + calls);
+    }
+
     /** Guards partners of relays that come back together, each with what its clients hand in again at once. */
     @Test
     void aBacklogAtTheStartIsNoRateToBeginWith() {
