Notice a silent watch before its silence counts as told, and ask anew without waiting

Seen in the code: a watch waited 20 s and its answer was awaited for 22 s (Discovery.WAIT, WAIT_SLACK).

Changed: a watch waits 4 s, its answer is awaited 1 s longer, and the first call, like each after one without an answer, waits for 1 ms only: the agent answers at once what it has. An empty answer holds no line of the list, which is what is priced. NodeTest.aWatchThatFallsSilentIsAskedAnewWithoutWaiting fails before it ("expected: <true> but was: <false>" at the bound on the times).

Ruled out: that a shorter wait costs service.

--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -39,8 +39,14 @@
 final class Discovery {
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
     private static final JsonFactory JSON = new JsonFactory();
-    /** ms; how long a watch may wait, and how long past that its answer is awaited. */
-    private static final long WAIT = 20_000, WAIT_SLACK = 2_000;
+    /**
+     * ms; how long a watch may wait, and how long past that its answer is awaited. What a silent watch
+     * misses counts as told 6 s after it fell silent: by then the list has been asked for anew, with time
+     * left to stop sending.
+     */
+    static final long WAIT = 4_000, WAIT_SLACK = 1_000;
+    /** ms; the shortest wait, of which an answer is had at once, and how long that answer is awaited. */
+    private static final long AT_ONCE = 1, AT_ONCE_PATIENCE = 500;
     /** ms; a notice not acknowledged within this is posted again; gap between tries of either sort. */
     private static final long NOTICE_PATIENCE = 2_000, AGAIN = 100;
     private static final int LIST_MOST = 8 << 20, NOTICES_MOST = 100;
@@ -59,6 +65,8 @@
     private final Map<Long, Journal.Entry> notices = new LinkedHashMap<>();
     private boolean posting;
     private boolean silent;
+    /** The latest call for the list was answered: only then may the next one wait. */
+    private boolean current;
     private boolean unheard;
 
     Discovery(EventLoop loop, Bootstrap bootstrap, InetSocketAddress agent, HostList hosts,
@@ -71,14 +79,21 @@
         this.reports = new Line(bootstrap, agent);
     }
 
-    /** Asks for what is newer than the list held; the next call follows the answer at once. */
+    /**
+     * Asks for what is newer than the list held; the next call follows the answer at once. The first call,
+     * and those after one without an answer, do not wait: what the agent has binds already.
+     */
     void watch() {
-        String query = hosts.version() < 0 ? "" : "?after=" + hosts.version() + "&wait_ms=" + WAIT;
-        watch.ask(HttpMethod.GET, "/v1/servers" + query, "", WAIT + WAIT_SLACK, answer -> {
+        long wait = current ? WAIT : AT_ONCE;
+        String query = hosts.version() < 0 ? "" : "?after=" + hosts.version() + "&wait_ms=" + wait;
+        long patience = current ? WAIT + WAIT_SLACK : AT_ONCE_PATIENCE;
+        watch.ask(HttpMethod.GET, "/v1/servers" + query, "", patience, answer -> {
+            current = false;
             try {
                 if (answer != null && answer.status().code() == 200) {
                     whenListed.listed(Wire.decode(answer.content().toString(StandardCharsets.UTF_8)));
                     silent = false;
+                    current = true;
                     watch();
                     return;
                 }
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -246,6 +246,18 @@
         }
     }
 
+    /** Guards the rule on drains: a watch that never speaks again is noticed before its silence counts as told. */
+    @Test
+    void aWatchThatFallsSilentIsAskedAnewWithoutWaiting() throws Exception {
+        long countsAsTold = 6_000, toAskAndToStop = 1_000;
+        assertTrue(Discovery.WAIT + Discovery.WAIT_SLACK + toAskAndToStop <= countsAsTold);
+        try (Node relay = relay()) {
+            assertEquals("after=1&wait_ms=1", platform.asked.take());
+            assertEquals("after=1&wait_ms=" + Discovery.WAIT, platform.asked.take());
+            assertEquals("after=1&wait_ms=1", platform.asked.poll(Platform.PATIENCE_S, TimeUnit.SECONDS));
+        }
+    }
+
     /** Guards the watch against standing still, and against asking without a pause, after a list it cannot read. */
     @Test
     void theWatchGoesOnAfterAListThatCannotBeRead() throws Exception {
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -28,8 +28,12 @@
     final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
     /** Statuses for the next notices; 204 when none is left. */
     final BlockingQueue<Integer> noticeStatuses = new LinkedBlockingQueue<>();
-    /** Answers to the next watches. */
+    /** Answers to the next watches that wait. */
     final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
+    /** The answer to calls for the list that do not wait, each time; the agent is silent while there is none. */
+    final BlockingQueue<String> atOnce = new LinkedBlockingQueue<>(List.of(list(1, false)));
+    /** The queries of all calls for the list. */
+    final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
     private final HttpServer agent;
     private final Path folder;
 
@@ -50,7 +54,13 @@
         });
         agent.createContext("/v1/servers", exchange -> {
             try {
-                byte[] list = changes.take().getBytes(StandardCharsets.UTF_8);
+                String query = String.valueOf(exchange.getRequestURI().getQuery());
+                asked.add(query);
+                boolean waits = query.contains("wait_ms=") && !query.endsWith("wait_ms=1");
+                byte[] list = (waits ? changes.take() : atOnce.take()).getBytes(StandardCharsets.UTF_8);
+                if (!waits) {
+                    atOnce.add(new String(list, StandardCharsets.UTF_8));
+                }
                 exchange.sendResponseHeaders(200, list.length);
                 exchange.getResponseBody().write(list);
             } catch (InterruptedException e) {
