Hold calls at a start until the agent has told its list, for a second at most

What the agent has counts as told from the first moment of a new process.

Cause: Loop.start tells the module the list of the configuration, and Node.serve lets it send what is taken up in the next task, before discovery's first answer can have been read. NodeTest.aProcessThatStartsSendsNothingByAnOldList... shows it with a host that the agent has draining: without the mend "sent by the list of before ==> expected: not <null>".

Changed: the module is told that a newer list has been asked for (ListAsked) and opens no route before it is told one, or for a second if the agent is silent; the rule stands in Control.gate, which also covers copies. ControlTest and NodeTest show both ends, and that a list without changes ends the hold as well.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -99,6 +99,8 @@
     private static final double SHARE_BURST = 2;
     /** us; a waiting message is looked at again at least this often while its lane is limited. */
     private static final long RECHECK = 500 * MS;
+    /** us; at a start, nothing is sent by an old list while a newer one may still come within this. */
+    private static final long LIST_WAIT = SECOND;
     /** us; an endpoint off the list is forgotten after this: past any wait or warm-up. */
     private static final long FORGET = 600 * SECOND;
     /** Log lines at most: operators keep only the first few hundred. */
@@ -120,7 +122,7 @@
     private final double[] eases;
     private final PriorityQueue<Entry> agenda = new PriorityQueue<>();
     private List<Action> out = new ArrayList<>();
-    private long now, beganAt, seq, turns, wakeAt = NEVER;
+    private long now, beganAt, seq, turns, wakeAt = NEVER, listBy = Long.MIN_VALUE;
     private int slotsUsed, elsewhere, open, logged;
     private boolean leaving;
 
@@ -179,6 +181,8 @@
             listed(e);
         } else if (event instanceof Retuned e) {
             retune(e.settings());
+        } else if (event instanceof ListAsked) {
+            listBy = now + LIST_WAIT;
         } else if (event instanceof Leave) {
             leaving = true;
             messages.values().stream().filter(m -> m.queued).toList().forEach(this::pass);
@@ -549,7 +553,7 @@
         if (!joins && (slotsUsed >= slots() || r.dest.calls + r.dest.elsewhere >= room(r.dest))) {
             return NEVER;
         }
-        return opens(r, joins);
+        return Math.max(listBy, opens(r, joins));
     }
 
     /** The rule on effects: where an earlier attempt may have run, only what the class allows. */
@@ -994,6 +998,8 @@
     }
 
     private void listed(Listed e) {
+        listBy = Long.MIN_VALUE;
+        active.addAll(dests.values());
         Set<Long> named = new HashSet<>();
         for (Endpoint p : e.endpoints()) {
             named.add(p.id());
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -97,6 +97,9 @@
     /** The list of endpoints changed. */
     public record Listed(ListKind kind, List<Endpoint> endpoints) implements Event { }
 
+    /** The list held is of before the process began, and a newer one has been asked for. */
+    public record ListAsked() implements Event { }
+
     /** The message was withdrawn; nothing is owed any more. */
     public record Withdrawn(String id) implements Event { }
 
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -134,6 +134,7 @@
         if (!known.values().isEmpty()) {
             tell(hosts.update(known));
         }
+        tell(new Relay.ListAsked());
         turn();
         discovery.watch();
         loop.scheduleWithFixedDelay(this::stand, 0, STAND, TimeUnit.MILLISECONDS);
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -67,6 +67,25 @@
         }
     }
 
+    /** Guards the rule on drains at a start: nothing goes out by an old list while a newer one may still come. */
+    @Test
+    void aListOfBeforeTheStartIsNotSentByUntilANewerOneComesOrAShortTimeIsOver() {
+        Bench b = bench(0, 8, false);
+        b.turn(new ListAsked());
+        assertTrue(sends(b.turn(b.message(0, 1))).isEmpty());
+        assertTrue(sends(b.pass(900 * MS)).isEmpty());
+        Endpoint drains = new Endpoint(11, 0, 0, 1, Listing.DRAINING, 50);
+        assertEquals(12, sends(b.turn(new Listed(ListKind.CHANGES, List.of(drains)))).get(0).endpoint());
+        Bench silent = bench(0, 8, false);
+        silent.turn(new ListAsked());
+        silent.turn(silent.message(0, 1));
+        assertEquals(1, sends(silent.pass(1_100 * MS)).size());
+        Bench unchanged = bench(0, 8, false);
+        unchanged.turn(new ListAsked());
+        unchanged.turn(unchanged.message(0, 1));
+        assertEquals(1, sends(unchanged.turn(new Listed(ListKind.CHANGES, List.of()))).size());
+    }
+
     @Test
     void delayStartsAt200MillisecondsUntilAnswersAreKnown() {
         Bench b = bench(0, 8, true);
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -246,6 +246,37 @@
         }
     }
 
+    /** Guards the rule on drains at a restart: what the agent has binds before it has been asked. */
+    @Test
+    void aProcessThatStartsSendsNothingByAnOldListWhileANewerOneIsOnItsWay() throws Exception {
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 60_000).get(0));
+            assertNotNull(host.call());
+        }
+        platform.atOnce.clear();
+        try (Host other = new Host()) {
+            platform.atOnce.add(list(2, false, host("s-1", host.port(), 7, "draining"),
+                host("s-2", other.port(), 7, "ready")));
+            try (Node relay = relay()) {
+                Host.Call call = other.call();
+                assertNotNull(call, "sent by the list of before");
+                call.answer(Host.OK);
+                awaitClosedJournal(relay);
+                assertTrue(host.quiet());
+            }
+        }
+    }
+
+    /** Guards service against a discovery that is down at the start. */
+    @Test
+    void aSilentAgentDelaysTheFirstCallForAShortTimeOnly() throws Exception {
+        platform.atOnce.clear();
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 60_000).get(0));
+            assertNotNull(host.call());
+        }
+    }
+
     /** Guards the rule on drains: a watch that never speaks again is noticed before its silence counts as told. */
     @Test
     void aWatchThatFallsSilentIsAskedAnewWithoutWaiting() throws Exception {
