Answer the requests that are read as the process ends: they were held and never answered

Seen in the code: after Loop.stop no turn runs any more, yet Loop.accept went on to hold what was handed in, and what waited for the turn that stop had called off was forgotten. Its connection was then closed with no answer, which loses the request.

LoopTest.whoHandsInAMessageAsTheProcessEndsHearsThatItWasNotTakenOn forces it: a message is handed in, the loop is stopped in the same pass, another is handed in. Before: "expected: <[first refused, second refused]> but was: <[]>". Nothing of these is written down, so handing them in again is harmless.

--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -230,9 +230,13 @@
         return settings.tenants().size();
     }
 
-    /** The process ends: nothing more is decided or written down, calls still out count as may have run. */
+    /**
+     * The process ends: nothing more is decided or written down, calls still out count as may have run. Who
+     * has handed a message in and who still does hears that it was not taken on.
+     */
     void stop() {
         stopped = true;
+        List.copyOf(unanswered.keySet()).forEach(id -> unanswered.remove(id).refused(COME_BACK));
     }
 
     boolean idle() {
@@ -255,7 +259,7 @@
             answer.taken();
             return;
         }
-        if (known != null || open >= settings.allowed().open()) {
+        if (known != null || stopped || open >= settings.allowed().open()) {
             figures.rejected(message.messageClass());
             answer.refused(COME_BACK);
             return;
--- a/src/test/java/wrenkeel/net/LoopTest.java
+++ b/src/test/java/wrenkeel/net/LoopTest.java
@@ -110,6 +110,19 @@
         assertEquals(List.of("first taken", "second taken"), answers);
     }
 
+    /** Guards against a lost request: what was read in the last instant, and what is read after it, is answered. */
+    @Test
+    void whoHandsInAMessageAsTheProcessEndsHearsThatItWasNotTakenOn() throws Exception {
+        inOnePass(() -> {
+            loop.accept(message("a"), client("first"));
+            loop.stop();
+            loop.accept(message("b"), client("second"));
+        });
+        settle();
+        assertEquals(List.of("first refused", "second refused"), answers);
+        assertEquals(0, journal.owed().size());
+    }
+
     @Test
     void aMessageHandedInTwiceIsTakenOnOnce() throws Exception {
         inOnePass(() -> {
