Let each connection end by its answer when the process leaves, not all at once after 0.6 s

Seen: Node.leave closed the door and, 0.6 s after SIGTERM, all connections (Callers.closeAll), whatever was half read, waited to be accepted or was not yet flushed. Clients send on every connection that stays open up to SIGKILL, and a connection that is closed with no answer loses its request.

NodeTest.atTheOrderlyEndARequestOnItsWayIsStillAnswered forces the crossing: half a request has been read, the door is seen closed, then the rest is written. Before: "EOF ended after:", no answer.

Changed: without a successor the relay turns clients away as it does with one: the door lets in who waits there and closes; each answer closes its connection, as does a silence of 2.6 s (RequestDeadline); it leaves when none is left, or after 3.3 s.

--- a/src/main/java/wrenkeel/net/Callers.java
+++ b/src/main/java/wrenkeel/net/Callers.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
 
 /** The connections to one server, at most so many of them. One thread. */
@@ -73,8 +72,4 @@
     int size() {
         return all.size();
     }
-
-    void closeAll() {
-        List.copyOf(all).forEach(Channel::close);
-    }
 }
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -202,11 +202,7 @@
                 handOver(by);
             } else {
                 Thread.sleep(SERVE_ON);
-                thread.submit(() -> {
-                    door.close();
-                    // Behind the turn that answers what has just been read.
-                    return thread.submit(clients::closeAll);
-                }).get();
+                turnAway(by);
             }
             while (System.nanoTime() < by && !idle()) {
                 Thread.sleep(LOOK);
@@ -217,11 +213,7 @@
         close();
     }
 
-    /**
-     * What is not out is passed on; the door closes once the next process has opened its own. Clients that
-     * still hold connections are served here, and each answer closes one: closing them would cut off what is
-     * on its way.
-     */
+    /** What is not out is passed on; the door closes once the next process has opened its own. */
     private void handOver(long by) throws InterruptedException, ExecutionException {
         thread.submit(() -> {
             loop.leave();
@@ -231,6 +223,14 @@
         while (System.nanoTime() < by && !journal.laterServes() && thread.submit(journal::laterWaits).get()) {
             Thread.sleep(LOOK);
         }
+        turnAway(by);
+    }
+
+    /**
+     * The door closes behind those who wait there. Clients that hold connections are served, and each answer
+     * closes one, as does a silence: closing them now would cut off what is on its way.
+     */
+    private void turnAway(long by) throws InterruptedException, ExecutionException {
         thread.submit(door::drain).get();
         while (System.nanoTime() < by && thread.submit(clients::size).get() > 0) {
             Thread.sleep(LOOK);
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -364,6 +364,41 @@
         }
     }
 
+    /** Guards against a lost request: one that is half written as the door closes is read to its end and answered. */
+    @Test
+    void atTheOrderlyEndARequestOnItsWayIsStillAnswered() throws Exception {
+        Node relay = relay();
+        var address = relay.address();
+        try (var half = new Platform.Client(relay); var client = new Platform.Client(relay)) {
+            half.write("POST /bill HTTP/1.1\r\nHost: api.internal\r\n");
+            // Answered by the same thread after it has read the half request.
+            assertEquals("HTTP/1.1 200 OK", client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+            Thread end = new Thread(relay::leave);
+            end.start();
+            while (!refused(address)) {
+                Thread.onSpinWait();
+            }
+            half.write(String.join("\r\n", Platform.Client.headers("a", "bill", 7, 16_000))
+                + "\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(TAKEN, half.answer().get(0));
+            assertTrue(half.closed());
+            host.call().answer(Host.OK);
+            end.join();
+        }
+    }
+
+    /** True once nobody listens there; a connection that still comes up is left to the relay to close. */
+    private static boolean refused(java.net.InetSocketAddress address) throws IOException {
+        try (var probe = new Platform.Client(address)) {
+            probe.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]);
+            return false;
+        } catch (java.net.ConnectException e) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Test
     void anUnusableConfigurationIsOnePlainLine() throws IOException {
         assertThrows(Config.Unusable.class, () -> Config.read(Map.of()));
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -2,7 +2,6 @@
 
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -182,10 +181,18 @@
         }
 
         List<String> raw(String head, byte[] body) throws IOException {
-            OutputStream out = socket.getOutputStream();
-            out.write(head.getBytes(StandardCharsets.ISO_8859_1));
-            out.write(body);
-            out.flush();
+            write(head);
+            socket.getOutputStream().write(body);
+            return answer();
+        }
+
+        /** Part of a request. */
+        void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** The head of the next answer. */
+        List<String> answer() throws IOException {
             return Host.head(socket.getInputStream());
         }
 
