Begin a bundle with the message whose time is up last: what outlived the first was lost

So a call's time is that of its first message, and an answer after it counts for none of them.

Ruled out: restarts (the taken-up were all ended in time), withdrawals (none), answers that stopped short (no bundle among those that ended as delivered), notices (each acknowledged within 0.3 s).

Lines at fault: Bundle.parts gave the messages in the order of dispatch. Now the latest deadline comes first. NodeTest shows it fail without: the body began with "short".

--- a/src/main/java/wrenkeel/net/Bundle.java
+++ b/src/main/java/wrenkeel/net/Bundle.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /** Parts of one turn to one host, gathered to go out as one call. */
@@ -16,7 +17,12 @@
     private final List<HostPool.Part> parts = new ArrayList<>();
     private int bytes = 2;
 
+    /**
+     * The one whose time is up last comes first: a destination takes a call's time from its first message,
+     * and an answer after that would count for none of them.
+     */
     List<HostPool.Part> parts() {
+        parts.sort(Comparator.comparingLong((HostPool.Part part) -> part.message().deadline()).reversed());
         return parts;
     }
 
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -89,6 +89,21 @@
         assertTrue(platform.notices.isEmpty(), "delivered, so no notice");
     }
 
+    /** Guards messages of several lives in one call: it must not be over with the first of them. */
+    @Test
+    void aBundleBeginsWithTheMessageThatHasMostTimeLeft() throws Exception {
+        try (Node relay = platform.relay(host("s-1", "m3", host.port(), 7, "ready"));
+                var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 16_000).get(0));
+            Host.Call first = host.call();
+            assertEquals(TAKEN, client.post("short", "bill", 7, 15_500).get(0));
+            assertEquals(TAKEN, client.post("long", "bill", 7, 16_000).get(0));
+            first.answer(Host.OK);
+            String bundle = host.call().body();
+            assertTrue(bundle.startsWith("[{\"id\":\"long\"") && bundle.contains("\"id\":\"short\""), bundle);
+        }
+    }
+
     @Test
     void healthIsToldAndBadRequestsAreTurnedAwayAndNotWrittenDown() throws Exception {
         try (Node relay = relay()) {
