Try first what a start takes up untried, keep it from shedding, and charge its tenant once

A start finds its windows at one and its newest messages worth most, so that what waited before it stood behind all that came in.

Lines at fault: Control.accept put what is taken up into the bands of new messages, late ones the newest first; it charged them to the tenant's share a second time; Control.shed, with the hold full, gave them back first.

Changed: Accepted says that a message was taken up. One without an attempt waits in a queue of its own destination, by deadline, ahead of the bands, until its first call; shed does not look there; the share is not charged.

Tests seen to fail without: "expected: <[first, late]> but was: <[m1, m0]>" (order), "expected: <[m0]> but was: <[m0, r4, r3]>" (shed), "expected: <m0> but was: <other>" (share).

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -224,7 +224,8 @@
         m.dest.mark(now, RATE_SPAN, Math.max(RATE_AGE, now - beganAt));
         m.deadline = e.deadline();
         m.aim = m.deadline - m.cls.life() + m.cls.aim();
-        boolean inShare = inShare(e.tenant());
+        // What is taken up counted against the share when it was taken on.
+        boolean inShare = e.takenUp() || inShare(e.tenant());
         m.band = e.messageClass() * 3 + (inShare ? 0 : 1);
         m.full = m.cls.worth() * (inShare ? 1 : set.overShareWorth());
         messages.put(m.id, m);
@@ -238,6 +239,7 @@
         for (Earlier before : e.earlier()) {
             m.attempts.add(recovered(m, before));
         }
+        m.owed = e.takenUp() && m.attempts.isEmpty();
         if (!m.attempts.isEmpty() && (m.attempts.size() >= m.cls.tries()
             || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun())) {
             giveUp(m);
@@ -282,7 +284,9 @@
         m.dest.waiting++;
         active.add(m.dest);
         Band band = m.dest.bands[m.band];
-        if (again) {
+        if (m.owed) {
+            m.dest.owe(m);
+        } else if (again) {
             band.fresh.addFirst(m);
         } else {
             band.fresh.addLast(m);
@@ -446,7 +450,11 @@
     }
 
     // ---- Dispatch and the send gate -------------------------------------------------------------
+    /** What was taken up untried goes first: a restart must not end it without a call. */
     private double priority(Msg m) {
+        if (m.owed) {
+            return Double.MAX_VALUE;
+        }
         long when = now + (long) m.dest.latest;
         double soon = m.worth(when);
         return soon + URGENCY * (soon - m.worth(when + SECOND));
@@ -480,8 +488,8 @@
     private Pick pick(Dest d) {
         Pick best = null;
         long look = now + RECHECK;
-        for (Band band : d.bands) {
-            Msg m = d.waiting > 0 ? head(band) : null;
+        for (int i = -1; i < d.bands.length; i++) {
+            Msg m = d.waiting == 0 ? null : i < 0 ? d.owed() : head(d.bands[i]);
             double priority = m == null ? 0 : priority(m);
             if (m == null || best != null && best.priority >= priority) {
                 continue;
@@ -605,6 +613,7 @@
             m.dest.waiting--;
             m.dest.bands[m.band].remove(m);
         }
+        m.owed = false;
         out.add(new Send(m.id, r.id, patience(m)));
         if (!copy) {
             m.dest.copies = Math.min(COPY_SAVED, m.dest.copies + COPY_SHARE);
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -79,14 +79,14 @@
     public record Earlier(long sent, int zone, boolean mayHaveRun) { }
 
     /**
-     * A message was taken on; exactly one final answer is owed before {@code deadline}. {@code earlier}: its
-     * attempts so far, if it was taken on before a restart; new attempts are numbered on from these.
+     * A message was taken on; exactly one final answer is owed before {@code deadline}. {@code takenUp}: it
+     * was taken on before a restart, and {@code earlier} are its attempts so far; new ones are numbered on.
      */
     public record Accepted(String id, int messageClass, int tenant, String key, long deadline,
-                           long destination, List<Earlier> earlier) implements Event {
+                           long destination, boolean takenUp, List<Earlier> earlier) implements Event {
         public Accepted(String id, int messageClass, int tenant, String key, long deadline,
                         long destination) {
-            this(id, messageClass, tenant, key, deadline, destination, List.of());
+            this(id, messageClass, tenant, key, deadline, destination, false, List.of());
         }
     }
 
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.TreeMap;
 
 /** What {@link Control} remembers: plain records of fact and containers. Nothing here decides. */
@@ -33,7 +35,8 @@
         Key key;
         long deadline, aim;
         int band, extras, open;
-        boolean queued, ended, halving;
+        /** {@code owed}: taken up after a restart and not tried since it was taken on. */
+        boolean queued, ended, halving, owed;
         double full;
         final List<Attempt> attempts = new ArrayList<>(2);
 
@@ -201,6 +204,9 @@
     /** One destination: its routes, waiting messages, window and answers. */
     static final class Dest {
         final Map<Long, Route> routes = new TreeMap<>();
+        /** Messages taken up untried, the one whose time is up first ahead. */
+        private final PriorityQueue<Msg> owed =
+            new PriorityQueue<>(Comparator.comparingLong(m -> m.deadline));
         Band[] bands;
         final Answers answers;
         Lane shared;
@@ -219,6 +225,18 @@
             widen(bands);
         }
 
+        void owe(Msg m) {
+            owed.add(m);
+        }
+
+        /** The first of those taken up untried that still waits; null when there is none. */
+        Msg owed() {
+            while (!owed.isEmpty() && !(owed.peek().queued && owed.peek().owed)) {
+                owed.poll();
+            }
+            return owed.peek();
+        }
+
         /** Makes room for the bands of further classes. */
         void widen(int most) {
             int before = bands.length;
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -48,6 +48,8 @@
         final List<HostPool.Part> calls = new ArrayList<>();
         Journal.Entry entry;
         boolean over;
+        /** Taken up without an attempt, and none made since. */
+        boolean untried;
         int out;
         /** Clients that have been told that it is taken on, less those that are known not to have heard. */
         int told;
@@ -76,7 +78,10 @@
     private final Map<String, Answer> unanswered = new LinkedHashMap<>();
     /** What this turn sends and is not yet on its way, by host. */
     private final Map<HostList.Host, Bundle> bundles = new LinkedHashMap<>();
+    private final TakenUp takenUp = new TakenUp();
     private final long began = System.nanoTime();
+    /** Unix time, ms. */
+    private final long beganAt = System.currentTimeMillis();
     private boolean turnDue;
     private boolean stopped;
     private boolean leaving;
@@ -203,13 +208,17 @@
             h.calls.add(null);
             earlier.add(new Relay.Earlier(moduleTime(a.sent), a.zone, a.mayHaveRun));
         }
-        tell(accepted(h, earlier));
+        if (earlier.isEmpty()) {
+            h.untried = true;
+            takenUp.untried();
+        }
+        tell(accepted(h, true, earlier));
     }
 
-    private Relay.Accepted accepted(Held h, List<Relay.Earlier> earlier) {
+    private Relay.Accepted accepted(Held h, boolean takenUp, List<Relay.Earlier> earlier) {
         Message m = h.message;
         return new Relay.Accepted(m.id(), number(h.rules), m.tenant(), m.routeKey(),
-            moduleTime(m.deadline()), m.destination(), earlier);
+            moduleTime(m.deadline()), m.destination(), takenUp, earlier);
     }
 
     boolean knows(String messageClass, long destination) {
@@ -268,7 +277,7 @@
         held.put(message.id(), h);
         open++;
         unanswered.put(message.id(), answer);
-        tell(accepted(h, List.of()));
+        tell(accepted(h, false, List.of()));
     }
 
     /**
@@ -415,6 +424,10 @@
         int attempt = h.calls.size();
         h.calls.add(null);
         h.out++;
+        if (h.untried) {
+            h.untried = false;
+            takenUp.tried();
+        }
         boolean written = false;
         try {
             if (!h.over) {
@@ -498,6 +511,9 @@
     private void end(String id, Journal.End end) {
         Held h = held.get(id);
         if (h != null && !h.over) {
+            if (h.untried) {
+                takenUp.endedUntried(end.handedBack(), h.message.deadline() < beganAt);
+            }
             over(h);
             end(h.entry, end);
         }
@@ -506,6 +522,9 @@
     private void pass(String id) {
         Held h = held.get(id);
         if (h != null && !h.over) {
+            if (h.untried) {
+                takenUp.passedOn();
+            }
             over(h);
             try {
                 journal.passed(h.entry);
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -32,7 +32,7 @@
     }
 
     private static Event recovered(Bench b, int cls, Earlier... earlier) {
-        return new Accepted("r", cls, 0, null, b.message(cls, 1).deadline(), 1, List.of(earlier));
+        return new Accepted("r", cls, 0, null, b.message(cls, 1).deadline(), 1, true, List.of(earlier));
     }
 
     private static Earlier earlier(Bench b, long ago, int zone, boolean mayHaveRun) {
@@ -58,6 +58,55 @@
         assertEquals(1, count(recover(0, all), Refuse.class), "all attempts made");
     }
 
+    /** Guards what a restart finds untried: it goes before what comes in, and what is out of time first goes first. */
+    @Test
+    void whatIsTakenUpUntriedIsTriedBeforeWhatComesIn() {
+        Bench b = bench(1, 1, false);
+        long soon = b.now + 2 * SECOND, later = b.now + 3 * SECOND;
+        Event late = new Accepted("late", 1, 0, null, later, 1, true, List.of());
+        Event first = new Accepted("first", 1, 0, null, soon, 1, true, List.of());
+        List<String> order = new ArrayList<>();
+        List<Send> sent = sends(b.turn(b.message(0, 1), late, first, b.message(2, 1)));
+        for (int i = 0; i < 3; i++) {
+            order.add(sent.get(0).id());
+            b.now += 10 * MS;
+            sent = new ArrayList<>(sends(b.turn(ended(sent.get(0), 0, Outcome.OK))));
+            sent.addAll(sends(b.pass(sent.isEmpty() ? SECOND : 0)));
+        }
+        assertEquals(List.of("first", "late"), order.subList(0, 2));
+    }
+
+    /** Guards the same against a full hold: what waits otherwise is given back, newcomers first. */
+    @Test
+    void whatIsTakenUpUntriedIsNotGivenBackForRoom() {
+        Bench b = new Bench(settings(1, false, 2, 8, 4));
+        List<Event> events = new ArrayList<>();
+        events.add(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 50))));
+        for (int i = 0; i < 5; i++) {
+            events.add(new Accepted("r" + i, 1, 0, null, b.now + 3 * SECOND, 1, true, List.of()));
+        }
+        Accepted fresh = b.message(1, 1);
+        events.add(fresh);
+        List<Action> actions = b.turn(events);
+        assertEquals(List.of(fresh.id()), actions.stream().filter(Refuse.class::isInstance)
+            .map(a -> ((Refuse) a).id()).toList());
+    }
+
+    /** Guards a tenant's share: what it handed in before a restart counted against it then. */
+    @Test
+    void whatIsTakenUpIsNotChargedToItsTenantAgain() {
+        Bench b = bench(1, 8, false);
+        List<Event> events = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            events.add(new Accepted("r" + i, 1, 0, null, b.now + 3 * SECOND, 2, true, List.of()));
+        }
+        b.turn(events);
+        // Inside its share the first is worth twice the other, past it less than half; the other has no share.
+        Accepted inside = b.message(0, 1);
+        Accepted other = new Accepted("other", 1, 1, null, b.now + 16 * SECOND, 1);
+        assertEquals(inside.id(), sends(b.turn(other, inside)).get(0).id());
+    }
+
     @Test
     void aRecoveredKeyedMessageStaysInItsZoneGroup() {
         for (int zone = 0; zone < 2; zone++) {
