Keep each tenant's use of its share by name when settings change

Seen in the code: Control.retune passed the buckets on by place. A file that names the tenants in another order charged what one had used to another, which was then past its share with its first message. ControlTest.aReloadThatPutsTenantsInAnotherOrder... before: "expected: <m100> but was: <other>".

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -201,10 +201,13 @@
 
     /** Other settings bind from here on; what is known of partners stays, and messages keep their class. */
     private void retune(Settings settings) {
+        Map<String, Bucket> before = new HashMap<>();
+        for (int i = 0; i < shares.length; i++) {
+            before.put(set.tenants().get(i).name(), shares[i]);
+        }
         set = settings;
-        Bucket[] before = shares;
-        shares = new Bucket[set.tenants().size()];
-        Arrays.setAll(shares, i -> i < before.length ? before[i] : new Bucket());
+        shares = set.tenants().stream().map(t -> before.getOrDefault(t.name(), new Bucket()))
+            .toArray(Bucket[]::new);
         for (Dest d : dests.values()) {
             d.widen(set.classes().size() * 3);
             active.add(d);
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -107,6 +107,30 @@
         assertEquals(inside.id(), sends(b.turn(other, inside)).get(0).id());
     }
 
+    private static Settings tenants(Settings s, String... names) {
+        List<Tenant> tenants = java.util.Arrays.stream(names).map(name -> new Tenant(name, 50)).toList();
+        return new Settings(s.rank(), s.relays(), s.zone(), s.halvingLate(), s.overShareWorth(), s.weights(), s.classes(),
+            tenants, s.kinds(), s.allowed(), s.rules(), s.prices());
+    }
+
+    /** Guards a tenant's share at a reload: what it has used is its own, whatever its place in the file. */
+    @Test
+    void aReloadThatPutsTenantsInAnotherOrderKeepsToEachItsOwnUse() {
+        Settings set = settings(8, false, 2);
+        Bench b = new Bench(tenants(set, "busy", "calm"));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 50), endpoint(12, 1, 1, 2, 50))));
+        List<Event> events = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            events.add(b.message(1, 2));
+        }
+        b.turn(events);
+        b.turn(new Retuned(tenants(set, "calm", "busy")));
+        // The first is of "calm" now, inside its share and worth twice the other, which has no share.
+        Accepted other = new Accepted("other", 1, 2, null, b.now + 16 * SECOND, 1);
+        Accepted inside = b.message(0, 1);
+        assertEquals(inside.id(), sends(b.turn(other, inside)).get(0).id());
+    }
+
     @Test
     void aRecoveredKeyedMessageStaysInItsZoneGroup() {
         for (int zone = 0; zone < 2; zone++) {
