Let a notice that the platform cannot read hold up no other

Seen in the code: Discovery.post took the first hundred notices and posted them again until acknowledged. One that is answered 400 was posted for ever, and with it whatever stood in the same post or behind it: none of these messages ever got its end.

Changed: after a 400 notices go one by one, and one that is refused steps behind the others; it is still owed and tried again.

--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -64,6 +64,8 @@
     private final Line reports;
     private final Map<Long, Journal.Entry> notices = new LinkedHashMap<>();
     private boolean posting;
+    /** The platform could not read one of them: each goes alone, so that it holds up no other. */
+    private boolean singly;
     private boolean silent;
     /** The latest call for the list was answered: only then may the next one wait. */
     private boolean current;
@@ -141,9 +143,10 @@
     private void post() {
         if (notices.isEmpty()) {
             posting = false;
+            singly = false;
             return;
         }
-        List<Journal.Entry> batch = notices.values().stream().limit(NOTICES_MOST).toList();
+        List<Journal.Entry> batch = notices.values().stream().limit(singly ? 1 : NOTICES_MOST).toList();
         reports.ask(HttpMethod.POST, "/reports", lines(batch), NOTICE_PATIENCE, answer -> {
             if (answer != null && answer.status().code() == 204) {
                 unheard = false;
@@ -158,6 +161,11 @@
                         answer == null ? "no answer" : answer.status());
                 }
                 unheard = true;
+                if (answer != null && answer.status().code() == 400) {
+                    singly = true;
+                    // Behind the others; it is still owed, and tried again.
+                    batch.forEach(entry -> notices.put(entry.number, notices.remove(entry.number)));
+                }
                 loop.schedule(this::post, AGAIN, TimeUnit.MILLISECONDS);
             }
         });
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -178,6 +178,24 @@
         }
     }
 
+    /** Guards the ends of all messages against one whose notice the platform cannot read. */
+    @Test
+    void aNoticeThatCannotBeReadHoldsUpNoOther() throws Exception {
+        platform.unreadable = "\"bad\"";
+        try (Node relay = relay(); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("bad", "bill", 7, 300).get(0));
+            assertEquals("{\"message\":\"bad\",\"outcome\":\"given_up\"}", platform.notice());
+            assertEquals(TAKEN, client.post("good", "bill", 7, 300).get(0));
+            long by = System.nanoTime() + TimeUnit.SECONDS.toNanos(Platform.PATIENCE_S);
+            while (ConsoleTest.figures(relay).object("failed").whole("bill") == 0 && System.nanoTime() < by) {
+                Thread.sleep(5);
+            }
+        }
+        try (Journal journal = platform.leftBehind()) {
+            assertEquals(List.of("bad"), journal.owed().stream().map(entry -> entry.message.id()).toList());
+        }
+    }
+
     /** Guards what is owed against a kill: keyed messages go out again, with the same id, key and body. */
     @Test
     void aKeyedMessageThatWasOutIsSentAgainAfterARestart() throws Exception {
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -27,6 +27,8 @@
     final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
     /** Statuses for the next notices; 204 when none is left. */
     final BlockingQueue<Integer> noticeStatuses = new LinkedBlockingQueue<>();
+    /** Notices that hold this text are answered 400. */
+    volatile String unreadable = "\0";
     /** Answers to the next watches that wait. */
     final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
     /** The answer to calls for the list that do not wait, each time; the agent is silent while there is none. */
@@ -46,7 +48,7 @@
         }));
         agent.createContext("/reports", exchange -> {
             String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
-            Integer status = noticeStatuses.poll();
+            Integer status = body.contains(unreadable) ? (Integer) 400 : noticeStatuses.poll();
             exchange.sendResponseHeaders(status == null ? 204 : status, -1);
             exchange.close();
             body.lines().forEach(notices::add);
