Hear SIGHUP and SIGTERM before the door is opened, and a reload after the end

Seen in the code: Node.serve listened for SIGHUP, and made its orderly end known, only after the Node was built, whose last step opens the clients' door: a SIGHUP in between ends the process, a SIGTERM ends it as SIGKILL would. And a SIGHUP after the end threw RejectedExecutionException out of the signal's thread.

NodeTest, before: "expected: not same but was: <SIG_DFL>" after a start whose door could not be opened; "Unexpected exception thrown: java.util.concurrent.RejectedExecutionException: event executor terminated".

--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -9,8 +9,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -118,10 +120,18 @@
 
     /** Serves until the process is told to end; 2 where the configuration is of no use. */
     public static int serve(Map<String, String> env) {
+        CompletableFuture<Node> started = new CompletableFuture<>();
         try {
+            // Before anybody can see that it is ready: a signal may come at that very moment.
+            Hangup.whenHeard(() -> started.thenAccept(node -> node.reload(env)));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> started.handle((node, fault) -> {
+                if (node != null) {
+                    node.leave();
+                }
+                return null;
+            }).join(), "leave"));
             Node node = new Node(Config.read(env));
-            Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leave"));
-            Hangup.whenHeard(() -> node.reload(env));
+            started.complete(node);
             node.left.await();
             return 0;
         } catch (Config.Unusable e) {
@@ -134,6 +144,8 @@
             System.err.println("interrupted at the start");
         } catch (ReflectiveOperationException e) {
             System.err.println("cannot listen for SIGHUP: " + e);
+        } finally {
+            started.cancel(false);
         }
         return 2;
     }
@@ -149,6 +161,9 @@
         } catch (Config.Unusable e) {
             figures.reloadFailed();
             LOG.error("not reloaded: {}", e.getMessage());
+        } catch (RejectedExecutionException e) {
+            figures.reloadFailed();
+            LOG.warn("not reloaded: the relay has ended");
         } catch (ExecutionException e) {
             figures.reloadFailed();
             LOG.error("not reloaded", e);
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -370,6 +370,29 @@
         }
     }
 
+    /** Guards against an end at SIGHUP: it may come as soon as the relay is seen to be ready. */
+    @Test
+    void aHangupIsHeardBeforeTheDoorIsOpened() throws Exception {
+        Class<?> signal = Class.forName("sun.misc.Signal"), handler = Class.forName("sun.misc.SignalHandler");
+        Object hangup = signal.getConstructor(String.class).newInstance("HUP");
+        Object byDefault = handler.getField("SIG_DFL").get(null);
+        var handle = signal.getMethod("handle", signal, handler);
+        handle.invoke(null, hangup, byDefault);
+        try (var taken = new java.net.ServerSocket(0, 1, Platform.LOOPBACK)) {
+            platform.config("127.0.0.1:" + taken.getLocalPort(), new String[0]);
+            assertEquals(2, Node.serve(platform.env()), "the door could not be opened");
+        }
+        assertNotSame(byDefault, handle.invoke(null, hangup, byDefault));
+    }
+
+    /** A signal that comes late must not break the end. */
+    @Test
+    void aReloadAfterTheEndIsTurnedDown() throws Exception {
+        Node relay = relay();
+        relay.close();
+        assertDoesNotThrow(() -> relay.reload(platform.env()));
+    }
+
     /** Guards the orderly end: clients are answered and turned away, and what is out is finished first. */
     @Test
     void atTheOrderlyEndClientsAreServedAndCallsFinished() throws Exception {
