Read on past a damaged record, and count what stood before it as possibly run

And one flipped byte dropped all that stood behind it, sends and closings too, so that messages before it looked untried: "damaged at 229 ==> expected: <true> but was: <false>". One that may not be repeated would then have gone out twice.

Changed: once its process has ended, a file is searched on for the next record that checks; messages before a gap may have run at any time since they were taken on. An unfinished record at the very end was never acted on and casts no doubt. A record that is not understood is told and doubts its own message.

aRecordThatDoesNotCheckEndsTheFile was wrong to demand that the rest be dropped; in its place every byte of a record in the middle is damaged in turn, and what stands before and behind is checked. Not reached: a file that was cut between two records.

--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -31,13 +31,15 @@
  * earlier processes left in theirs is adopted; each message is taken over once, whoever is killed meanwhile.
  *
  * <p>A record is its length (4 bytes), the CRC-32 of its content (4 bytes) and the content: its sort, the
- * number of the message, and what the sort asks for. A tail that does not check is cut off at the start. The
+ * number of the message, and what the sort asks for. What does not check is passed over at the start. The
  * file is written anew when it has grown; old and new file together stay within the limit, for which each
  * message reserves room.
  */
 final class Journal implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
     private static final int HEAD = 8, RECORD_MOST = 1 << 20;
+    /** Bytes of a content's sort and number. */
+    private static final int LEAST = 9;
     /** Bytes kept clear of the limit, for what the file system rounds up. */
     private static final long CLEAR = 32_768;
     /**
@@ -45,6 +47,8 @@
      * rewrites.
      */
     private static final double LIVE_SHARE = 0.4;
+    /** The zone of an attempt of which nothing is known: that of no host. */
+    private static final int UNKNOWN_ZONE = -1;
     /** Attempts for which a message without its class written down reserves room. */
     private static final int BARE_TRIES = 16;
     /** Bytes of a send with its outcome, and of an end with its notice. */
@@ -77,12 +81,23 @@
         final List<Attempt> attempts = new ArrayList<>();
         End end;
         private long reserved;
+        /** Some of its records are missing: the numbers of its attempts are not known. */
+        private boolean doubted;
 
         private Entry(long number, Message message, Relay.MessageClass rules) {
             this.number = number;
             this.message = message;
             this.rules = rules;
         }
+
+        /** It may have been sent at any time since it was taken on, wherever. */
+        private void doubt() {
+            if (!doubted) {
+                doubted = true;
+                long life = rules == null ? 0 : rules.life() / 1_000;
+                attempts.add(new Attempt(message.deadline() - life, UNKNOWN_ZONE));
+            }
+        }
     }
 
     private final Tenure tenure;
@@ -435,26 +450,84 @@
             return earlier.number();
         }
 
-        /** Reads on; what does not check is still being written, or was cut off by the process's end. */
+        /**
+         * Reads on. What does not check is still being written, or, once the process has ended, is passed
+         * over. An unfinished record at the end was never acted on; any other gap may have held anything.
+         */
         void read() throws IOException {
             ByteBuffer in = ByteBuffer.wrap(earlier.journalFrom(size));
-            while (in.remaining() >= HEAD) {
-                int length = in.getInt();
-                int check = in.getInt();
-                if (length < 0 || length > RECORD_MOST || length > in.remaining()) {
-                    break;
+            int unread = 0;
+            boolean unfinished = false;
+            while (in.hasRemaining()) {
+                byte[] content = content(in);
+                if (content == null && !ended) {
+                    return;
                 }
+                if (content == null) {
+                    unfinished = unread == 0 ? unfinished(in) : unfinished;
+                    in.get();
+                    unread++;
+                    size++;
+                    continue;
+                }
+                if (unread > 0) {
+                    gap(unread);
+                    unread = 0;
+                }
+                size += content.length + HEAD;
+                replay(content);
+            }
+            if (unread > 0 && !unfinished) {
+                gap(unread);
+            } else if (unread > 0) {
+                LOG.warn("journal cut at an unfinished record, {} bytes dropped", unread);
+            }
+        }
+
+        /** The next record's content; null, and nothing taken, if no whole one that checks stands here. */
+        private static byte[] content(ByteBuffer in) {
+            if (in.remaining() < HEAD) {
+                return null;
+            }
+            in.mark();
+            int length = in.getInt();
+            int check = in.getInt();
+            if (length >= LEAST && length <= RECORD_MOST && length <= in.remaining()) {
                 byte[] content = new byte[length];
                 in.get(content);
-                if (crc(content) != check) {
-                    if (ended) {
-                        LOG.warn("journal cut at a record that does not check, {} bytes dropped",
-                            in.remaining() + length + HEAD);
-                    }
-                    return;
+                if (crc(content) == check) {
+                    return content;
                 }
+            }
+            in.reset();
+            return null;
+        }
+
+        private static boolean unfinished(ByteBuffer in) {
+            if (in.remaining() < HEAD) {
+                return true;
+            }
+            int length = in.getInt(in.position());
+            return length >= LEAST && length <= RECORD_MOST && length > in.remaining() - HEAD;
+        }
+
+        private void gap(int bytes) {
+            LOG.warn("journal {}: {} bytes cannot be read, {} messages before them may have run", number(),
+                bytes, entries.size());
+            entries.values().forEach(Entry::doubt);
+        }
+
+        /** A record that checks and cannot be understood is told; its message may have run. */
+        private void replay(byte[] content) {
+            try {
                 replay(new DataInputStream(new ByteArrayInputStream(content)));
-                size += length + HEAD;
+            } catch (IOException | RuntimeException e) {
+                long message = ByteBuffer.wrap(content).getLong(1);
+                LOG.warn("journal {}: a record of message {} is not understood: {}", number(), message,
+                    e.toString());
+                if (entries.containsKey(message)) {
+                    entries.get(message).doubt();
+                }
             }
         }
 
@@ -487,7 +560,11 @@
         private static void follow(Entry entry, byte sort, DataInputStream in) throws IOException {
             switch (sort) {
                 case SENT -> entry.attempts.add(new Attempt(in.readLong(), in.readInt()));
-                case NOT_RUN -> entry.attempts.get(in.readShort()).mayHaveRun = false;
+                case NOT_RUN -> {
+                    if (!entry.doubted) {
+                        entry.attempts.get(in.readShort()).mayHaveRun = false;
+                    }
+                }
                 case ENDED -> entry.end = new End(in.readBoolean(), in.readLong());
                 default -> throw new IOException("journal holds a record of unknown sort " + sort);
             }
--- a/src/main/java/wrenkeel/net/Tenure.java
+++ b/src/main/java/wrenkeel/net/Tenure.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
@@ -44,7 +45,8 @@
                     StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
                 lock.lock();
                 Tenure tenure = new Tenure(folder, next, lock);
-                before.stream().distinct().sorted().forEach(n -> tenure.earlier.add(new Earlier(folder, n)));
+                before.stream().distinct().sorted().map(n -> new Earlier(folder, n))
+                    .filter(Earlier::hasFiles).forEach(tenure.earlier::add);
                 if (Files.exists(folder.resolve(JOURNAL))) {
                     // Written by a release that had one file and no number.
                     tenure.earlier.add(0, new Earlier(folder, 0));
@@ -118,6 +120,11 @@
             return number;
         }
 
+        /** False where something else than a relay's files has their names. */
+        private boolean hasFiles() {
+            return !Files.isDirectory(file(LOCK)) && !Files.isDirectory(file(JOURNAL));
+        }
+
         private Path file(String name) {
             return folder.resolve(number == 0 ? name : name + "." + number);
         }
@@ -154,10 +161,10 @@
             }
         }
 
-        /** What it has left for the process that takes over; null while it serves. */
+        /** What it has left for the process that takes over, readable or not; null while it serves. */
         String knowledge() throws IOException {
             try {
-                return Files.readString(file(KNOWLEDGE));
+                return new String(Files.readAllBytes(file(KNOWLEDGE)), StandardCharsets.UTF_8);
             } catch (NoSuchFileException e) {
                 return null;
             }
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -138,16 +138,87 @@
         }
     }
 
+    private Journal.Entry owed(Journal journal, String id) {
+        return journal.owed().stream().filter(entry -> entry.message.id().equals(id)).findFirst().orElse(null);
+    }
+
+    private static boolean mayHaveRun(Journal.Entry entry) {
+        return entry.attempts.stream().anyMatch(attempt -> attempt.mayHaveRun);
+    }
+
+    /**
+     * Guards what a damaged file still holds, and against a second run: a record that is lost may have been a send of
+     * any message before it.
+     */
+    @Test
+    void aRecordThatDoesNotCheckIsPassedOverAndWhatStandsBeforeItMayHaveRun() throws IOException {
+        long middle;
+        long end;
+        try (Journal journal = open()) {
+            journal.take(message("a", 100), RULES);
+            middle = Files.size(Platform.journal(folder));
+            journal.take(message("b", 100), RULES);
+            end = Files.size(Platform.journal(folder));
+            journal.take(message("c", 100), RULES);
+        }
+        byte[] whole = Files.readAllBytes(Platform.journal(folder));
+        for (long at = middle; at < end; at++) {
+            byte[] damaged = whole.clone();
+            damaged[(int) at] ^= 0x55;
+            Files.write(Platform.journal(folder), damaged, StandardOpenOption.TRUNCATE_EXISTING);
+            try (Journal journal = open()) {
+                assertTrue(mayHaveRun(owed(journal, "a")), "damaged at " + at);
+                assertNull(owed(journal, "b"));
+                assertFalse(mayHaveRun(owed(journal, "c")));
+            }
+            // The start has written a file of its own; the next one is to find the damaged one again.
+            try (var files = Files.list(folder)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            Files.write(folder.resolve("journal.1"), whole);
+        }
+    }
+
+    private static byte[] record(int sort, long number, byte[] rest) {
+        byte[] content = java.nio.ByteBuffer.allocate(9 + rest.length).put((byte) sort).putLong(number).put(rest).array();
+        java.util.zip.CRC32 crc = new java.util.zip.CRC32();
+        crc.update(content);
+        return java.nio.ByteBuffer.allocate(8 + content.length).putInt(content.length).putInt((int) crc.getValue())
+            .put(content).array();
+    }
+
+    /** Guards the start against what a later release or a fault has written: the rest is taken up. */
     @Test
-    void aRecordThatDoesNotCheckEndsTheFile() throws IOException {
+    void aRecordThatIsNotUnderstoodIsTold() throws IOException {
         try (Journal journal = open()) {
             journal.take(message("a", 100), RULES);
             journal.take(message("b", 100), RULES);
         }
         Path file = Platform.journal(folder);
-        byte[] bytes = Files.readAllBytes(file);
-        bytes[bytes.length - 1] ^= 1;
-        Files.write(file, bytes, StandardOpenOption.TRUNCATE_EXISTING);
+        // An unknown sort, the outcome of an attempt never made, and messages that end too soon.
+        for (byte[] strange : List.of(record(77, 1, new byte[3]), record(3, 1, new byte[] {0, 9}), record(1, 9, new byte[2]),
+                record(10, 9, new byte[40]))) {
+            Files.write(file, strange, StandardOpenOption.APPEND);
+        }
+        try (Journal journal = open()) {
+            assertEquals(2, journal.owed().size());
+            assertTrue(mayHaveRun(owed(journal, "a")));
+            assertFalse(mayHaveRun(owed(journal, "b")));
+        }
+    }
+
+    @Test
+    void aFolderThatHoldsSomethingElseDoesNotStopTheStart() throws IOException {
+        Files.createDirectories(folder.resolve("journal.7"));
+        Files.createDirectories(folder.resolve("relay.9"));
+        Files.write(folder.resolve("journal.3"), new byte[4_096]);
+        Files.write(folder.resolve("leaving.3"), new byte[] {(byte) 0xc3, (byte) 0x28});
+        try (Journal journal = open()) {
+            assertEquals(0, journal.owed().size());
+            assertNotNull(journal.take(message("a", 100), RULES));
+        }
         try (Journal journal = open()) {
             assertEquals("a", only(journal).message.id());
         }
