--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -120,7 +121,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            // A client that leaves, also in the middle of its request, is no fault.
+            if (!(cause instanceof IOException || cause instanceof PrematureChannelClosureException)) {
                 LOG.error("connection of a client closed", cause);
             }
             context.close();
--- a/src/test/java/wrenkeel/net/ServerTest.java
+++ b/src/test/java/wrenkeel/net/ServerTest.java
@@ -2,6 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -25,4 +31,23 @@
         long deadline = Server.deadline(1_000_000, time);
         assertTrue(deadline > 1_000_000 + time / 2 && deadline <= 1_000_000 + time);
     }
+
+    /** Guards the log and the CPU: clients that leave in the middle of a request come in crowds. */
+    @Test
+    void aClientThatLeavesInTheMiddleOfItsRequestLeavesNoTrace() {
+        PrintStream before = System.err;
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            EmbeddedChannel channel = new EmbeddedChannel();
+            channel.pipeline().addLast(new Server(null, new Callers(10)));
+            channel.pipeline().fireChannelActive();
+            channel.writeInbound(Unpooled.copiedBuffer("POST /bill HTTP/1.1\r\nContent-Length: 5\r\n\r\nhi",
+                StandardCharsets.US_ASCII));
+            channel.finish();
+        } finally {
+            System.setErr(before);
+        }
+        assertEquals("", log.toString(StandardCharsets.UTF_8));
+    }
 }
