--- a/src/main/java/wrenkeel/Main.java
+++ b/src/main/java/wrenkeel/Main.java
@@ -1,9 +1,14 @@
 package wrenkeel;
 
 import java.io.IOException;
+import java.util.Arrays;
 import wrenkeel.net.Node;
+import wrenkeel.scale.ScaleCommand;
 
-/** Entry point: {@code serve} runs one real relay, {@code simhost} the adapter on standard streams. */
+/**
+ * Entry point: {@code serve} runs one real relay, {@code simhost} the adapter on standard streams, {@code scale} the
+ * scale runs.
+ */
 public final class Main {
     private Main() { }
 
@@ -18,7 +23,10 @@
         if (args.length == 1 && args[0].equals("serve")) {
             return Node.serve(System.getenv());
         }
-        System.err.println("usage: java -jar wrenkeel.jar serve|simhost");
+        if (args.length >= 1 && args[0].equals("scale")) {
+            return ScaleCommand.run(Arrays.copyOfRange(args, 1, args.length));
+        }
+        System.err.println("usage: java -jar wrenkeel.jar serve|simhost|scale ...");
         return 2;
     }
 }
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/ByteCounter.java
@@ -0,0 +1,40 @@
+package wrenkeel.scale;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts the bytes of a connection: those read, and those that the system has taken. First in its pipeline. */
+final class ByteCounter extends ChannelDuplexHandler {
+    private final LongAdder in;
+    private final LongAdder out;
+
+    ByteCounter(LongAdder in, LongAdder out) {
+        this.in = in;
+        this.out = out;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (message instanceof ByteBuf bytes) {
+            in.add(bytes.readableBytes());
+        }
+        context.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        ChannelPromise done = promise.unvoid();
+        if (message instanceof ByteBuf bytes) {
+            int length = bytes.readableBytes();
+            done.addListener(written -> {
+                if (written.isSuccess()) {
+                    out.add(length);
+                }
+            });
+        }
+        context.write(message, done);
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/HostCatalog.java
@@ -0,0 +1,203 @@
+package wrenkeel.scale;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.IntFunction;
+
+/**
+ * Discovery's list: hosts numbered from 0, 1.7 a destination, the same for the same seed, and what has changed since.
+ * Only what changed is held by the entry; all else is worked out from the number. Any thread may call.
+ */
+final class HostCatalog {
+    /** Two regions with five zones. */
+    static final List<String> ZONES = List.of("a1", "a2", "a3", "b1", "b2");
+    static final List<String> KINDS = List.of("m1", "m2");
+    /** Changes remembered; who asks for older ones gets the whole list. */
+    static final int CHANGES_MOST = 4_096;
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final long FIRST_VERSION = 41;
+    /** Odd, so that no two numbers below 2^32 have the same product in 32 bits. */
+    private static final int SPREAD = 0x9E3779B1;
+
+    /** The standing of one host. */
+    enum Health {
+        READY, DRAINING, GONE;
+
+        String word() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    /** What is no longer as it was at first: its standing, where it is dialled, and when it began (Unix ms). */
+    private record Changed(Health health, String dial, long bornMillis) { }
+
+    /** One change: the host that it is about, by its number. */
+    private record Change(long version, int host) { }
+
+    private final int hosts;
+    private final int salt;
+    private final IntFunction<String> dials;
+    private final Map<Integer, Changed> changed = new HashMap<>();
+    private final Deque<Change> changes = new ArrayDeque<>();
+    private long version = FIRST_VERSION;
+    private int gone;
+    /** The list as it stands, encoded; null after a change until somebody asks. */
+    private byte[] whole;
+
+    /** Hosts with addresses that nobody answers; they are for relays that make no calls. */
+    HostCatalog(int hosts, long seed) {
+        this(hosts, seed, HostCatalog::unanswered);
+    }
+
+    /**
+     * @param dials the address and port of each host
+     */
+    HostCatalog(int hosts, long seed, IntFunction<String> dials) {
+        this.hosts = hosts;
+        this.dials = dials;
+        salt = new Random(seed).nextInt();
+    }
+
+    private static String unanswered(int host) {
+        return "10." + (1 + (host >> 16 & 0x7f)) + "." + (host >> 8 & 0xff) + "." + (host & 0xff) + ":8081";
+    }
+
+    /** How many hosts there are, those that are gone included. */
+    int size() {
+        return hosts;
+    }
+
+    int destinations() {
+        return hosts == 0 ? 0 : destination(hosts - 1) + 1;
+    }
+
+    /** The number of a host's destination. */
+    static int destination(int host) {
+        return (int) (host * 10L / 17);
+    }
+
+    String name(int host) {
+        return String.format(Locale.ROOT, "s-%08x", host * SPREAD + salt);
+    }
+
+    synchronized long version() {
+        return version;
+    }
+
+    /** How many hosts the list names, ready or draining. */
+    synchronized int listed() {
+        return hosts - gone;
+    }
+
+    /** Changes the standing of one host; the list's new version. */
+    synchronized long change(int host, Health health) {
+        Changed before = standing(host);
+        // One that comes back has started anew.
+        long born = before.health == Health.GONE && health != Health.GONE ? System.currentTimeMillis()
+            : before.bornMillis;
+        return put(host, new Changed(health, before.dial, born));
+    }
+
+    /** Gives one host another address; the list's new version. */
+    synchronized long move(int host, String dial) {
+        Changed before = standing(host);
+        return put(host, new Changed(before.health, dial, before.bornMillis));
+    }
+
+    private Changed standing(int host) {
+        if (host < 0 || host >= hosts) {
+            throw new IndexOutOfBoundsException("host " + host + " of " + hosts);
+        }
+        Changed now = changed.get(host);
+        return now == null ? new Changed(Health.READY, dials.apply(host), 0) : now;
+    }
+
+    private long put(int host, Changed next) {
+        gone += (next.health == Health.GONE ? 1 : 0) - (standing(host).health == Health.GONE ? 1 : 0);
+        changed.put(host, next);
+        whole = null;
+        changes.add(new Change(++version, host));
+        if (changes.size() > CHANGES_MOST) {
+            changes.remove();
+        }
+        return version;
+    }
+
+    /** The whole list in discovery's form. Shared by all who ask: not to be written to. */
+    synchronized byte[] whole() {
+        if (whole == null) {
+            whole = encode(true, null);
+        }
+        return whole;
+    }
+
+    /** What changed after a version, perhaps nothing; the whole list where that is no longer known. */
+    synchronized byte[] since(long after) {
+        if (!remembers(after)) {
+            return whole();
+        }
+        Set<Integer> named = new LinkedHashSet<>();
+        for (Change change : changes) {
+            if (change.version > after) {
+                named.add(change.host);
+            }
+        }
+        return encode(false, named);
+    }
+
+    /** True where the answer to a watch after this version is made of changes. */
+    synchronized boolean remembers(long after) {
+        return after <= version && after >= version - changes.size();
+    }
+
+    private byte[] encode(boolean all, Set<Integer> named) {
+        ByteArrayOutputStream text = new ByteArrayOutputStream(all ? 64 + hosts * 132 : 256);
+        try (JsonGenerator out = JSON.createGenerator(text)) {
+            out.writeStartObject();
+            out.writeNumberField("seq", version);
+            out.writeBooleanField("whole", all);
+            out.writeArrayFieldStart("hosts");
+            if (all) {
+                for (int host = 0; host < hosts; host++) {
+                    if (standing(host).health != Health.GONE) {
+                        entry(out, host);
+                    }
+                }
+            } else {
+                for (int host : named) {
+                    entry(out, host);
+                }
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("an array of bytes cannot fail to be written", e);
+        }
+        return text.toByteArray();
+    }
+
+    private void entry(JsonGenerator out, int host) throws IOException {
+        Changed now = standing(host);
+        out.writeStartObject();
+        out.writeStringField("host", name(host));
+        out.writeStringField("dial", now.dial);
+        out.writeStringField("site", ZONES.get(host % ZONES.size()));
+        out.writeStringField("class", KINDS.get(host % KINDS.size()));
+        out.writeNumberField("block", destination(host));
+        out.writeStringField("health", now.health.word());
+        out.writeNumberField("share", 1.0);
+        out.writeNumberField("born_ms", now.bornMillis);
+        out.writeEndObject();
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/StandInAgent.java
@@ -0,0 +1,308 @@
+package wrenkeel.scale;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpChunkedInput;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.stream.ChunkedStream;
+import io.netty.handler.stream.ChunkedWriteHandler;
+import io.netty.util.concurrent.Future;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The platform's agent, played on a free port of loopback: gives a catalog's list whole or as a watch, and takes
+ * notices. It has one thread. Counts, which any thread may read, begin with the agent.
+ */
+final class StandInAgent implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(StandInAgent.class);
+    /** Connections at once, those of a fleet behind one agent; bytes of one call; ms that a watch may wait. */
+    private static final int CONNECTIONS_MOST = 4_096, CALL_MOST = 1 << 20, WAIT_MOST = 60_000;
+    private static final int CHUNK = 1 << 16;
+    /** Versions whose times are kept. */
+    private static final int TIMES_MOST = 8_192;
+
+    /** When a version was made, first sent to a watch, and first named by a call as held; 0 for not yet. */
+    record Times(long madeNanos, long sentNanos, long heldNanos) { }
+
+    /** A call that waits for something newer than a version. */
+    private record Waiting(ChannelHandlerContext context, long after) { }
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop thread = group.next();
+    private final HostCatalog catalog;
+    private final Consumer<String> whenNoticed;
+    private final Channel listener;
+    /** By connection, each with its timer; only the agent's thread touches it. */
+    private final Map<Waiting, Future<?>> waiting = new LinkedHashMap<>();
+    private final Map<Long, Times> times = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Times> eldest) {
+            return size() > TIMES_MOST;
+        }
+    };
+    /** The latest version that a call has named as held; -1 for none. Guarded by {@code times}. */
+    private long held = -1;
+    private final AtomicInteger connections = new AtomicInteger();
+    private final LongAdder calls = new LongAdder();
+    private final LongAdder wholeLists = new LongAdder();
+    private final LongAdder notices = new LongAdder();
+    private final LongAdder bytesIn = new LongAdder();
+    private final LongAdder bytesOut = new LongAdder();
+
+    StandInAgent(HostCatalog catalog) throws InterruptedException {
+        this(catalog, notice -> { });
+    }
+
+    /** {@code whenNoticed} gets each line of a notice, on the agent's thread. */
+    StandInAgent(HostCatalog catalog, Consumer<String> whenNoticed) throws InterruptedException {
+        this.catalog = catalog;
+        this.whenNoticed = whenNoticed;
+        listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, CONNECTIONS_MOST)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    if (connections.incrementAndGet() > CONNECTIONS_MOST) {
+                        channel.close();
+                    }
+                    channel.closeFuture().addListener(closed -> connections.decrementAndGet());
+                    channel.pipeline().addLast(new ByteCounter(bytesIn, bytesOut), new HttpServerCodec(),
+                        new HttpObjectAggregator(CALL_MOST), new ChunkedWriteHandler(), new Calls());
+                }
+            }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    HostCatalog catalog() {
+        return catalog;
+    }
+
+    /** Changes the standing of one host and answers the watches that wait; the list's new version. */
+    long change(int host, HostCatalog.Health health) {
+        return made(catalog.change(host, health));
+    }
+
+    /** Gives one host another address and answers the watches that wait; the list's new version. */
+    long move(int host, String dial) {
+        return made(catalog.move(host, dial));
+    }
+
+    private long made(long version) {
+        long now = System.nanoTime();
+        synchronized (times) {
+            times.put(version, new Times(now, 0, 0));
+        }
+        thread.execute(this::answerAll);
+        return version;
+    }
+
+    /** The times of one change; null for one that is not, or no longer, known. */
+    Times times(long version) {
+        synchronized (times) {
+            return times.get(version);
+        }
+    }
+
+    /** Waits until a call names this version, or a later one, as held; false where none did in time. */
+    boolean awaitHeld(long version, Duration atMost) throws InterruptedException {
+        long by = System.nanoTime() + atMost.toNanos();
+        synchronized (times) {
+            while (held < version) {
+                long left = by - System.nanoTime();
+                if (left <= 0) {
+                    return false;
+                }
+                TimeUnit.NANOSECONDS.timedWait(times, left);
+            }
+            return true;
+        }
+    }
+
+    /** Calls for the list, watches included. */
+    long calls() {
+        return calls.sum();
+    }
+
+    /** Answers with the whole list that were begun. */
+    long wholeLists() {
+        return wholeLists.sum();
+    }
+
+    /** Lines of notices. */
+    long notices() {
+        return notices.sum();
+    }
+
+    /** Bytes read from all connections, heads included. */
+    long bytesIn() {
+        return bytesIn.sum();
+    }
+
+    /** Bytes handed to the system for all connections, heads included. */
+    long bytesOut() {
+        return bytesOut.sum();
+    }
+
+    /** Connections open now. */
+    int connections() {
+        return connections.get();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
+    private void answerAll() {
+        for (Waiting call : List.copyOf(waiting.keySet())) {
+            answer(call);
+        }
+    }
+
+    private void answer(Waiting call) {
+        Future<?> timer = waiting.remove(call);
+        if (timer != null) {
+            timer.cancel(false);
+            sendChanges(call.context, call.after);
+        }
+    }
+
+    private void sendChanges(ChannelHandlerContext context, long after) {
+        boolean whole = !catalog.remembers(after);
+        send(context, catalog.since(after), whole);
+        long now = System.nanoTime();
+        synchronized (times) {
+            times.replaceAll((version, t) -> version > after && t.sentNanos == 0
+                ? new Times(t.madeNanos, now, t.heldNanos) : t);
+        }
+    }
+
+    private void heard(long version) {
+        long now = System.nanoTime();
+        synchronized (times) {
+            if (version > held) {
+                times.replaceAll((v, t) -> v <= version && t.heldNanos == 0
+                    ? new Times(t.madeNanos, t.sentNanos, now) : t);
+                held = version;
+                times.notifyAll();
+            }
+        }
+    }
+
+    private void send(ChannelHandlerContext context, byte[] list, boolean whole) {
+        if (whole) {
+            wholeLists.increment();
+        }
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, list.length);
+        context.write(head);
+        // In chunks, for the system takes a copy of each: many relays may be sent a long list at once.
+        context.writeAndFlush(new HttpChunkedInput(new ChunkedStream(new ByteArrayInputStream(list), CHUNK)));
+    }
+
+    private static void status(ChannelHandlerContext context, HttpResponseStatus status) {
+        DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        if (!status.equals(HttpResponseStatus.NO_CONTENT)) {
+            answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        }
+        context.writeAndFlush(answer);
+    }
+
+    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+            if (request.method().equals(HttpMethod.GET) && uri.path().equals("/v1/servers")) {
+                calls.increment();
+                try {
+                    list(context, number(uri, "after", -1), number(uri, "wait_ms", 0));
+                } catch (NumberFormatException e) {
+                    status(context, HttpResponseStatus.BAD_REQUEST);
+                }
+            } else if (request.method().equals(HttpMethod.POST) && uri.path().equals("/reports")) {
+                List<String> lines = request.content().toString(StandardCharsets.UTF_8).lines().toList();
+                notices.add(lines.size());
+                lines.forEach(whenNoticed);
+                status(context, HttpResponseStatus.NO_CONTENT);
+            } else {
+                status(context, HttpResponseStatus.NOT_FOUND);
+            }
+        }
+
+        private void list(ChannelHandlerContext context, long after, long wait) {
+            if (after < 0) {
+                send(context, catalog.whole(), true);
+                return;
+            }
+            heard(after);
+            if (after != catalog.version() || wait <= 0) {
+                sendChanges(context, after);
+                return;
+            }
+            Waiting call = new Waiting(context, after);
+            waiting.put(call, thread.schedule(() -> answer(call), Math.min(wait, WAIT_MOST), TimeUnit.MILLISECONDS));
+        }
+
+        private static long number(QueryStringDecoder uri, String name, long absent) {
+            List<String> values = uri.parameters().getOrDefault(name, List.of());
+            return values.isEmpty() ? absent : Long.parseLong(values.get(0));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            for (Waiting call : new ArrayList<>(waiting.keySet())) {
+                if (call.context == context) {
+                    waiting.remove(call).cancel(false);
+                }
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                LOG.error("connection of a relay closed", cause);
+            }
+            context.close();
+        }
+    }
+}
