--- a/src/main/java/wrenkeel/Main.java
+++ b/src/main/java/wrenkeel/Main.java
@@ -6,8 +6,8 @@
 import wrenkeel.scale.ScaleCommand;
 
 /**
- * Entry point: {@code serve} runs one real relay, {@code simhost} the adapter on standard streams, {@code scale} the
- * scale runs.
+ * Entry point: {@code serve} runs one real relay, {@code simhost} the adapter on standard streams,
+ * {@code scale} the scale runs.
  */
 public final class Main {
     private Main() { }
--- a/src/main/java/wrenkeel/scale/ByteCounter.java
+++ b/src/main/java/wrenkeel/scale/ByteCounter.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelPromise;
 import java.util.concurrent.atomic.LongAdder;
 
-/** Counts the bytes of a connection: those read, and those that the system has taken. First in its pipeline. */
+/**
+ * Counts the bytes of a connection: those read, and those that the system has taken. First in its pipeline.
+ */
 final class ByteCounter extends ChannelDuplexHandler {
     private final LongAdder in;
     private final LongAdder out;
--- a/src/main/java/wrenkeel/scale/HostCatalog.java
+++ b/src/main/java/wrenkeel/scale/HostCatalog.java
@@ -16,8 +16,9 @@
 import java.util.function.IntFunction;
 
 /**
- * Discovery's list: hosts numbered from 0, 1.7 a destination, the same for the same seed, and what has changed since.
- * Only what changed is held by the entry; all else is worked out from the number. Any thread may call.
+ * Discovery's list: hosts numbered from 0, 1.7 a destination, the same for the same seed, and what has
+ * changed since. Only what changed is held by the entry; all else is worked out from the number. Any thread
+ * may call.
  */
 final class HostCatalog {
     /** Two regions with five zones. */
@@ -39,7 +40,9 @@
         }
     }
 
-    /** What is no longer as it was at first: its standing, where it is dialled, and when it began (Unix ms). */
+    /**
+     * What is no longer as it was at first: its standing, where it is dialled, and when it began (Unix ms).
+     */
     private record Changed(Health health, String dial, long bornMillis) { }
 
     /** One change: the host that it is about, by its number. */
--- a/src/main/java/wrenkeel/scale/Line.java
+++ b/src/main/java/wrenkeel/scale/Line.java
@@ -6,9 +6,10 @@
 import java.util.TreeMap;
 
 /**
- * The straight line through one value over all plays of all sizes, by least squares. {@code at0} and {@code atTarget}
- * are in the value's unit, {@code perUnit} in that a unit of size; {@code r2} is the share of the variance that the line
- * explains; {@code spread} is the largest (max - min) / mean over the plays of one size.
+ * The straight line through one value over all plays of all sizes, by least squares. {@code at0} and {@code
+ * atTarget} are in the value's unit, {@code perUnit} in that a unit of size; {@code r2} is the share of the
+ * variance that the line explains; {@code spread} is the largest (max - min) / mean over the plays of one
+ * size.
  */
 record Line(String value, double at0, double perUnit, double r2, double atTarget, double spread) {
     /** Fewer sizes make no line. */
@@ -27,8 +28,8 @@
     static Line fit(String value, List<Measurement> plays, long target) {
         Map<Long, List<Double>> bySize = bySize(value, plays);
         if (bySize.size() < SIZES_LEAST) {
-            throw new IllegalArgumentException("no line for " + value + ": " + bySize.size() + " sizes have it, "
-                + SIZES_LEAST + " are needed");
+            throw new IllegalArgumentException("no line for " + value + ": " + bySize.size()
+                + " sizes have it, " + SIZES_LEAST + " are needed");
         }
         double count = 0;
         double meanX = 0;
--- a/src/main/java/wrenkeel/scale/ProcessStats.java
+++ b/src/main/java/wrenkeel/scale/ProcessStats.java
@@ -19,8 +19,8 @@
     }
 
     /**
-     * Processor time of all threads since the start, us. From the scheduler's own clock, not in ticks of 10 ms; what a
-     * thread did between the last call and its end is missed.
+     * Processor time of all threads since the start, us. From the scheduler's own clock, not in ticks of 10
+     * ms; what a thread did between the last call and its end is missed.
      */
     long cpuMicros() throws IOException {
         List<Path> tasks;
--- a/src/main/java/wrenkeel/scale/RelayConfig.java
+++ b/src/main/java/wrenkeel/scale/RelayConfig.java
@@ -20,7 +20,8 @@
      *
      * @param known the list as this relay last had it, in discovery's form; null if it never had one
      */
-    static void write(Path file, RelaySettings settings, InetSocketAddress agent, byte[] known) throws IOException {
+    static void write(Path file, RelaySettings settings, InetSocketAddress agent, byte[] known)
+        throws IOException {
         try (JsonGenerator out = JSON.createGenerator(Files.newOutputStream(file))) {
             out.writeStartObject();
             out.writeStringField("name", settings.name());
--- a/src/main/java/wrenkeel/scale/RelayProcess.java
+++ b/src/main/java/wrenkeel/scale/RelayProcess.java
@@ -19,8 +19,9 @@
 import wrenkeel.Wire;
 
 /**
- * One real relay, started by {@code run} of the deploy file under the limits that stand there, with a temporary folder
- * of its own that is deleted at the end. At most one process at a time; it dies with this JVM. Not for several threads.
+ * One real relay, started by {@code run} of the deploy file under the limits that stand there, with a
+ * temporary folder of its own that is deleted at the end. At most one process at a time; it dies with this
+ * JVM. Not for several threads.
  */
 final class RelayProcess implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"");
@@ -33,7 +34,7 @@
     private final Path folder;
     private final RelaySettings settings;
     private final InetSocketAddress agent;
-    private final Thread atExit = new Thread(this::end, "end of a relay");
+    private final Thread atExit = new Thread(this::remove, "end of a relay");
     private Process process;
     private ProcessStats stats;
     private int starts;
@@ -46,7 +47,8 @@
      * @param root the repository's root, built
      * @param known the list that the configuration holds, in discovery's form; null for none
      */
-    RelayProcess(Path root, RelaySettings settings, InetSocketAddress agent, byte[] known) throws IOException {
+    RelayProcess(Path root, RelaySettings settings, InetSocketAddress agent, byte[] known)
+        throws IOException {
         this.root = root;
         this.settings = settings;
         this.agent = agent;
@@ -57,7 +59,9 @@
         Runtime.getRuntime().addShutdownHook(atExit);
     }
 
-    /** Starts the process, or one more after the last has ended; the lasting folder is kept. Does not wait. */
+    /**
+     * Starts the process, or one more after the last has ended; the lasting folder is kept. Does not wait.
+     */
     void start() throws IOException {
         if (process != null && process.isAlive()) {
             throw new IllegalStateException("process " + process.pid() + " runs");
@@ -122,7 +126,8 @@
         return console != null;
     }
 
-    private InetSocketAddress awaitAddress(Pattern pattern, Duration atMost) throws IOException, InterruptedException {
+    private InetSocketAddress awaitAddress(Pattern pattern, Duration atMost)
+        throws IOException, InterruptedException {
         long by = System.nanoTime() + atMost.toNanos();
         while (true) {
             boolean ended = !process.isAlive();
@@ -170,7 +175,8 @@
     }
 
     /** Waits until the list that it holds names so many hosts; false where it does not in time. */
-    boolean awaitMembers(long hosts, Duration atMost, Duration look) throws IOException, InterruptedException {
+    boolean awaitMembers(long hosts, Duration atMost, Duration look)
+        throws IOException, InterruptedException {
         long by = System.nanoTime() + atMost.toNanos();
         if (!awaitConsole(atMost)) {
             return false;
@@ -218,30 +224,29 @@
         new ProcessBuilder("kill", "-HUP", Long.toString(pid())).start().waitFor();
     }
 
-    private void end() {
-        if (process != null) {
-            process.destroyForcibly();
-        }
-    }
-
     /** Ends the process and deletes its folder. */
     @Override
-    public void close() throws IOException {
-        end();
+    public void close() {
         Runtime.getRuntime().removeShutdownHook(atExit);
+        remove();
+    }
+
+    private void remove() {
         try {
             if (process != null) {
-                process.waitFor();
+                kill();
+            }
+            List<Path> left;
+            try (Stream<Path> all = Files.walk(folder)) {
+                left = all.sorted(Comparator.reverseOrder()).toList();
+            }
+            for (Path path : left) {
+                Files.delete(path);
             }
+        } catch (IOException e) {
+            System.err.println("left behind: " + folder + ": " + e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        List<Path> left;
-        try (Stream<Path> all = Files.walk(folder)) {
-            left = all.sorted(Comparator.reverseOrder()).toList();
-        }
-        for (Path path : left) {
-            Files.delete(path);
-        }
     }
 }
--- a/src/main/java/wrenkeel/scale/Report.java
+++ b/src/main/java/wrenkeel/scale/Report.java
@@ -14,10 +14,11 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
- * The results of one run. As JSON lines, each written at once: {@code header}, one {@code play} a measurement, one
- * {@code line} a value, {@code end}. At the end also a table to read.
+ * The results of one run. As JSON lines, each written at once: {@code header}, one {@code play} a
+ * measurement, one {@code line} a value, {@code end}. At the end also a table to read.
  */
 final class Report implements Closeable {
     private static final JsonFactory JSON = new JsonFactory();
@@ -30,7 +31,8 @@
     /** Writes to the file that the options name, if any, and the table to standard output. */
     Report(String experiment, CommonOptions options) throws IOException {
         this(experiment, options.commandLine(), options.seed(0), options.plays(),
-            options.out() == null ? OutputStream.nullOutputStream() : Files.newOutputStream(options.out()), System.out);
+            options.out() == null ? OutputStream.nullOutputStream() : Files.newOutputStream(options.out()),
+            System.out);
     }
 
     Report(String experiment, String commandLine, long seed, int plays, OutputStream lines, PrintStream table)
@@ -64,7 +66,9 @@
         }
         out.writeEndObject();
         endLine();
-        table.printf("%s, size %,d, play %d: %s%n", experiment, play.size(), play.play(), play.values());
+        table.printf("%s, size %s, play %d: %s%n", experiment, grouped(play.size()), play.play() + 1,
+            play.values().entrySet().stream().map(value -> value.getKey() + " " + figure(value.getValue()))
+                .collect(Collectors.joining(", ")));
     }
 
     /** Writes the line through each value, carried to the target, and prints the table. */
@@ -72,14 +76,15 @@
         Set<String> values = new LinkedHashSet<>();
         plays.forEach(play -> values.addAll(play.values().keySet()));
         TextTable means = means(values);
-        TextTable lines = new TextTable("value", "at 0", "per 1,000", "r2", "at " + grouped(target), "spread");
+        TextTable lines = new TextTable("value", "at 0", "per 1,000", "r2", "at " + grouped(target),
+            "spread");
         for (String value : values) {
             int sizes = Line.sizes(value, plays);
             head("line");
             out.writeStringField("value", value);
             if (sizes < Line.SIZES_LEAST) {
-                out.writeStringField("refused", "measured at " + sizes + " sizes, at least " + Line.SIZES_LEAST
-                    + " are needed");
+                out.writeStringField("refused", "measured at " + sizes + " sizes, at least "
+                    + Line.SIZES_LEAST + " are needed");
                 lines.row(value, "-", "-", "-", "-", "only " + sizes + " sizes");
             } else {
                 Line line = Line.fit(value, plays, target);
@@ -131,8 +136,9 @@
     /** About four digits. */
     private static String figure(double value) {
         double size = Math.abs(value);
-        return String.format(Locale.ROOT, size >= 1_000 ? "%,.0f" : size >= 10 ? "%.1f" : size >= 0.1 || size == 0
-            ? "%.3f" : "%.2e", value);
+        boolean small = size < 0.1 && size > 0;
+        String form = size >= 1_000 ? "%,.0f" : size >= 10 ? "%.1f" : small ? "%.2e" : "%.3f";
+        return String.format(Locale.ROOT, form, value);
     }
 
     private static double load() {
--- a/src/main/java/wrenkeel/scale/StandInAgent.java
+++ b/src/main/java/wrenkeel/scale/StandInAgent.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpChunkedInput;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -44,12 +45,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The platform's agent, played on a free port of loopback: gives a catalog's list whole or as a watch, and takes
- * notices. It has one thread. Counts, which any thread may read, begin with the agent.
+ * The platform's agent, played on a free port of loopback: gives a catalog's list whole or as a watch, and
+ * takes notices. It has one thread. Counts, which any thread may read, begin with the agent.
  */
 final class StandInAgent implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(StandInAgent.class);
-    /** Connections at once, those of a fleet behind one agent; bytes of one call; ms that a watch may wait. */
+    /**
+     * Connections at once, those of a fleet behind one agent; bytes of one call; ms that a watch may wait.
+     */
     private static final int CONNECTIONS_MOST = 4_096, CALL_MOST = 1 << 20, WAIT_MOST = 60_000;
     private static final int CHUNK = 1 << 16;
     /** Versions whose times are kept. */
@@ -61,7 +64,8 @@
     /** A call that waits for something newer than a version. */
     private record Waiting(ChannelHandlerContext context, long after) { }
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop thread = group.next();
     private final HostCatalog catalog;
     private final Consumer<String> whenNoticed;
@@ -241,7 +245,8 @@
     }
 
     private static void status(ChannelHandlerContext context, HttpResponseStatus status) {
-        DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+            Unpooled.EMPTY_BUFFER);
         if (!status.equals(HttpResponseStatus.NO_CONTENT)) {
             answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         }
@@ -280,7 +285,8 @@
                 return;
             }
             Waiting call = new Waiting(context, after);
-            waiting.put(call, thread.schedule(() -> answer(call), Math.min(wait, WAIT_MOST), TimeUnit.MILLISECONDS));
+            waiting.put(call, thread.schedule(() -> answer(call), Math.min(wait, WAIT_MOST),
+                TimeUnit.MILLISECONDS));
         }
 
         private static long number(QueryStringDecoder uri, String name, long absent) {
--- a/src/main/java/wrenkeel/scale/TimeLimit.java
+++ b/src/main/java/wrenkeel/scale/TimeLimit.java
@@ -1,28 +1,32 @@
 package wrenkeel.scale;
 
+import java.util.concurrent.Callable;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-/** Ends the whole run, with the processes that it started, once it has lasted too long. */
-final class TimeLimit implements AutoCloseable {
+/** Ends this JVM, with the processes that it started, once a run has lasted too long. */
+final class TimeLimit {
+    /** The exit code then. */
     private static final int EXCEEDED = 3;
 
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread thread = new Thread(task, "time limit");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private TimeLimit() { }
 
-    TimeLimit(long seconds) {
+    /** Runs an experiment that may last so long. */
+    static int within(long seconds, Callable<Integer> run) throws Exception {
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "time limit");
+            thread.setDaemon(true);
+            return thread;
+        });
         timer.schedule(() -> {
-            System.err.println("ended: the run has lasted " + seconds + " s, as many as --most-seconds allows");
+            System.err.println("ended: the run has lasted " + seconds + " s (--most-seconds)");
             System.exit(EXCEEDED);
         }, seconds, TimeUnit.SECONDS);
-    }
-
-    @Override
-    public void close() {
-        timer.shutdownNow();
+        try {
+            return run.call();
+        } finally {
+            timer.shutdownNow();
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/wrenkeel/scale/LineTest.java
@@ -0,0 +1,61 @@
+package wrenkeel.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+final class LineTest {
+    private static Measurement play(long size, int play, double value) {
+        return new Measurement("list", size, play, 1, Map.of("cpu_ms", value));
+    }
+
+    @Test
+    void aStraightLineIsFoundAndCarriedToTheTarget() {
+        List<Measurement> plays = new ArrayList<>();
+        for (long size : List.of(10L, 1_000L, 20_000L, 300_000L)) {
+            plays.add(play(size, 0, 7 + 0.25 * size));
+        }
+        Line line = Line.fit("cpu_ms", plays, 1_000_000);
+        assertEquals(7, line.at0(), 1e-6);
+        assertEquals(0.25, line.perUnit(), 1e-12);
+        assertEquals(1, line.r2(), 1e-12);
+        assertEquals(250_007, line.atTarget(), 1e-6);
+        assertEquals(0, line.spread());
+    }
+
+    @Test
+    void spreadIsTheLargestOfAnySizeAndNoiseLowersR2() {
+        List<Measurement> plays = new ArrayList<>();
+        for (long size = 1; size <= 4; size++) {
+            plays.add(play(size, 0, 10 * size - 1));
+            plays.add(play(size, 1, 10 * size + 1));
+        }
+        Line line = Line.fit("cpu_ms", plays, 10);
+        assertEquals(10, line.perUnit(), 1e-9);
+        assertEquals(100, line.atTarget(), 1e-9);
+        assertEquals(0.2, line.spread(), 1e-9);
+        // Variance of the means 1000 over 8 plays, of the noise 8.
+        assertEquals(1_000.0 / 1_008, line.r2(), 1e-9);
+    }
+
+    @Test
+    void aValueThatDoesNotChangeIsALine() {
+        List<Measurement> plays = List.of(play(1, 0, 0), play(2, 0, 0), play(3, 0, 0), play(4, 0, 0));
+        assertEquals(new Line("cpu_ms", 0, 0, 1, 0, 0), Line.fit("cpu_ms", plays, 9));
+    }
+
+    @Test
+    void threeSizesMakeNoLineHoweverManyPlays() {
+        List<Measurement> plays = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            plays.add(play(i % 3, i / 3, i));
+        }
+        plays.add(new Measurement("list", 77, 0, 1, Map.of("other_ms", 1.0)));
+        assertEquals(3, Line.sizes("cpu_ms", plays));
+        assertThrows(IllegalArgumentException.class, () -> Line.fit("cpu_ms", plays, 9));
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/scale/StandInAgentTest.java
@@ -0,0 +1,147 @@
+package wrenkeel.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import wrenkeel.Wire;
+
+@Timeout(60)
+final class StandInAgentTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final HostCatalog catalog = new HostCatalog(50, 1);
+    private final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    private StandInAgent agent;
+
+    @BeforeEach
+    void start() throws InterruptedException {
+        agent = new StandInAgent(catalog, notices::add);
+    }
+
+    @AfterEach
+    void stop() {
+        agent.close();
+    }
+
+    private HttpRequest.Builder call(String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + RelayConfig.text(agent.address()) + path));
+    }
+
+    private CompletableFuture<Wire.Fields> list(String query) {
+        return client.sendAsync(call("/v1/servers" + query).build(), HttpResponse.BodyHandlers.ofString())
+            .thenApply(answer -> {
+                try {
+                    return Wire.decode(answer.body());
+                } catch (Wire.Malformed e) {
+                    throw new IllegalStateException(answer.body(), e);
+                }
+            });
+    }
+
+    @Test
+    void theWholeListIsGivenAtOnceAndCounted() throws Exception {
+        Wire.Fields list = list("").join();
+        assertTrue(list.flag("whole"));
+        assertEquals(50, list.objects("hosts").size());
+        assertEquals(1, agent.calls());
+        assertEquals(1, agent.wholeLists());
+        assertTrue(agent.bytesOut() > catalog.whole().length, "" + agent.bytesOut());
+        assertTrue(agent.bytesIn() > 0);
+    }
+
+    @Test
+    void watchesWaitForAChangeAndAllAreTold() throws Exception {
+        long version = catalog.version();
+        CompletableFuture<Wire.Fields> watch = list("?after=" + version + "&wait_ms=60000");
+        // Heard, and so waiting: the agent's one thread answers a change after it.
+        assertTrue(agent.awaitHeld(version, PATIENCE));
+        CompletableFuture<Wire.Fields> other = list("?after=" + version + "&wait_ms=60000");
+        long changed = agent.change(7, HostCatalog.Health.DRAINING);
+        for (Wire.Fields told : List.of(watch.join(), other.join())) {
+            assertEquals(changed, told.whole("seq"));
+            assertFalse(told.flag("whole"));
+            assertEquals(catalog.name(7), told.objects("hosts").get(0).text("host"));
+            assertEquals("draining", told.objects("hosts").get(0).text("health"));
+        }
+        assertEquals(0, agent.wholeLists());
+        assertEquals(0, agent.times(changed).heldNanos());
+        list("?after=" + changed + "&wait_ms=1").join();
+        StandInAgent.Times times = agent.times(changed);
+        assertTrue(times.madeNanos() <= times.sentNanos(), "" + times);
+        assertTrue(times.sentNanos() <= times.heldNanos(), "" + times);
+        assertFalse(agent.awaitHeld(changed + 1, Duration.ZERO));
+    }
+
+    @Test
+    void aWatchWhoseTimeIsUpIsToldThatNothingChanged() throws Exception {
+        Wire.Fields told = list("?after=" + catalog.version() + "&wait_ms=1").join();
+        assertEquals(catalog.version(), told.whole("seq"));
+        assertFalse(told.flag("whole"));
+        assertEquals(0, told.objects("hosts").size());
+    }
+
+    @Test
+    void whoIsBehindIsAnsweredAtOnceAndWhoIsTooFarBehindWithTheWholeList() throws Exception {
+        long version = catalog.version();
+        agent.move(3, "127.0.0.1:9");
+        Wire.Fields told = list("?after=" + version + "&wait_ms=60000").join();
+        assertEquals("127.0.0.1:9", told.objects("hosts").get(0).text("dial"));
+        assertTrue(list("?after=" + (version - 1) + "&wait_ms=60000").join().flag("whole"));
+        assertEquals(1, agent.wholeLists());
+    }
+
+    @Test
+    void aCallerThatLeavesWhileItWaitsIsForgotten() throws Exception {
+        long version = catalog.version();
+        try (Socket caller = new Socket(agent.address().getAddress(), agent.address().getPort())) {
+            caller.getOutputStream().write(("GET /v1/servers?after=" + version
+                + "&wait_ms=60000 HTTP/1.1\r\nHost: agent\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            assertTrue(agent.awaitHeld(version, PATIENCE));
+        }
+        CompletableFuture<Wire.Fields> watch = list("?after=" + version + "&wait_ms=60000");
+        long changed = agent.change(1, HostCatalog.Health.GONE);
+        assertEquals(changed, watch.join().whole("seq"));
+        assertEquals(49, list("").join().objects("hosts").size());
+    }
+
+    @Test
+    void noticesAreTakenLineByLine() throws Exception {
+        HttpRequest post = call("/reports")
+            .POST(HttpRequest.BodyPublishers.ofString("{\"a\":1}\n{\"b\":2}\n")).build();
+        assertEquals(204, client.send(post, HttpResponse.BodyHandlers.discarding()).statusCode());
+        assertEquals("{\"a\":1}", notices.poll(30, TimeUnit.SECONDS));
+        assertEquals("{\"b\":2}", notices.poll(30, TimeUnit.SECONDS));
+        assertEquals(2, agent.notices());
+        assertEquals(0, agent.calls());
+    }
+
+    private int status(String path) throws IOException, InterruptedException {
+        return client.send(call(path).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    @Test
+    void whatItDoesNotKnowIsTurnedDown() throws IOException, InterruptedException {
+        assertEquals(400, status("/v1/servers?after=x"));
+        assertEquals(400, status("/v1/servers?after=1&wait_ms=soon"));
+        assertEquals(404, status("/v2"));
+    }
+}
