--- a/src/main/java/wrenkeel/scale/ListExperiment.java
+++ b/src/main/java/wrenkeel/scale/ListExperiment.java
@@ -90,8 +90,12 @@
         } else {
             values.put("unheld_whole_lists_per_s", agent.wholeLists() / seconds);
             values.put("unheld_mb_per_s", agent.bytesOut() / MB / seconds);
-            values.put("unheld_cpu_percent", relay.cpuMicros() / 1e4 / seconds);
-            values.put("unheld_peak_rss_mb", relay.peakRssBytes() / MB);
+            values.put("unheld_alive", relay.alive() ? 1.0 : 0.0);
+            if (relay.alive()) {
+                values.put("unheld_ready", relay.ready() ? 1.0 : 0.0);
+                values.put("unheld_cpu_percent", relay.cpuMicros() / 1e4 / seconds);
+                values.put("unheld_peak_rss_mb", relay.peakRssBytes() / MB);
+            }
         }
         return held;
     }
--- a/src/main/java/wrenkeel/scale/RelayProcess.java
+++ b/src/main/java/wrenkeel/scale/RelayProcess.java
@@ -25,8 +25,9 @@
  */
 final class RelayProcess implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"");
-    private static final Pattern SERVING = Pattern.compile("serving on \\S*?:(\\d+)"),
-        CONSOLE = Pattern.compile("operators at \\S*?:(\\d+)");
+    /** With what follows the port: a line may be half written. */
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?:(\\d+)\\D"),
+        CONSOLE = Pattern.compile("operators at \\S*?:(\\d+)\\D");
     private static final Duration LOOK = Duration.ofMillis(5);
     private static final int CALL_PATIENCE = 2_000;
 
@@ -158,10 +159,7 @@
 
     /** The figures of the console. */
     Wire.Fields telemetry() throws IOException {
-        HttpURLConnection call = (HttpURLConnection) URI.create("http://" + RelayConfig.text(console)
-            + "/api/telemetry").toURL().openConnection();
-        call.setConnectTimeout(CALL_PATIENCE);
-        call.setReadTimeout(CALL_PATIENCE);
+        HttpURLConnection call = call("telemetry");
         try (InputStream answer = call.getInputStream()) {
             return Wire.decode(new String(answer.readAllBytes(), StandardCharsets.UTF_8));
         } finally {
@@ -169,25 +167,49 @@
         }
     }
 
+    /** True if the console says that it serves. */
+    boolean ready() throws IOException {
+        HttpURLConnection call = call("ready");
+        try {
+            return call.getResponseCode() == HttpURLConnection.HTTP_OK;
+        } finally {
+            call.disconnect();
+        }
+    }
+
+    private HttpURLConnection call(String name) throws IOException {
+        URI uri = URI.create("http://" + RelayConfig.text(console) + "/api/" + name);
+        HttpURLConnection call = (HttpURLConnection) uri.toURL().openConnection();
+        call.setConnectTimeout(CALL_PATIENCE);
+        call.setReadTimeout(CALL_PATIENCE);
+        return call;
+    }
+
     /** How many hosts the list that it holds names. */
     long members() throws IOException {
         return telemetry().whole("members");
     }
 
-    /** Waits until the list that it holds names so many hosts; false where it does not in time. */
+    /**
+     * Waits until the list that it holds names so many hosts; false where it does not in time, or ends. One
+     * that is too busy to answer its operators is asked again.
+     */
     boolean awaitMembers(long hosts, Duration atMost, Duration look)
         throws IOException, InterruptedException {
         long by = System.nanoTime() + atMost.toNanos();
-        if (!awaitConsole(atMost)) {
-            return false;
-        }
-        while (members() != hosts) {
-            if (System.nanoTime() > by) {
-                return false;
+        while (alive() && System.nanoTime() < by) {
+            try {
+                if (awaitConsole(Duration.ofNanos(by - System.nanoTime())) && members() == hosts) {
+                    return true;
+                }
+            } catch (IOException e) {
+                if (!alive()) {
+                    System.err.println(settings.name() + ": " + e.getMessage());
+                }
             }
             Thread.sleep(look.toMillis());
         }
-        return true;
+        return false;
     }
 
     /** Processor time of the process since its start, us. */
--- a/src/main/java/wrenkeel/scale/StandInAgent.java
+++ b/src/main/java/wrenkeel/scale/StandInAgent.java
@@ -216,8 +216,10 @@
         send(context, catalog.since(after), whole);
         long now = System.nanoTime();
         synchronized (times) {
-            times.replaceAll((version, t) -> version > after && t.sentNanos == 0
-                ? new Times(t.madeNanos, now, t.heldNanos) : t);
+            for (long version = catalog.version(); version > after && times.containsKey(version); version--) {
+                times.computeIfPresent(version, (v, t) -> t.sentNanos == 0
+                    ? new Times(t.madeNanos, now, t.heldNanos) : t);
+            }
         }
     }
 
@@ -225,8 +227,9 @@
         long now = System.nanoTime();
         synchronized (times) {
             if (version > held) {
-                times.replaceAll((v, t) -> v <= version && t.heldNanos == 0
-                    ? new Times(t.madeNanos, t.sentNanos, now) : t);
+                for (long v = version; v > held && times.containsKey(v); v--) {
+                    times.computeIfPresent(v, (same, t) -> new Times(t.madeNanos, t.sentNanos, now));
+                }
                 held = version;
                 times.notifyAll();
             }
