--- a/src/main/java/wrenkeel/scale/StandInAgent.java
+++ b/src/main/java/wrenkeel/scale/StandInAgent.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.stream.ChunkedStream;
@@ -108,7 +109,7 @@
                     }
                     channel.closeFuture().addListener(closed -> connections.decrementAndGet());
                     channel.pipeline().addLast(new ByteCounter(bytesIn, bytesOut), new HttpServerCodec(),
-                        new HttpObjectAggregator(CALL_MOST), new ChunkedWriteHandler(), new Calls());
+                        new HttpServerKeepAliveHandler(), new HttpObjectAggregator(CALL_MOST), new ChunkedWriteHandler(), new Calls());
                 }
             }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
     }
