--- a/src/main/java/wrenkeel/scale/StandInAgent.java
+++ b/src/main/java/wrenkeel/scale/StandInAgent.java
@@ -109,7 +109,8 @@
                     }
                     channel.closeFuture().addListener(closed -> connections.decrementAndGet());
                     channel.pipeline().addLast(new ByteCounter(bytesIn, bytesOut), new HttpServerCodec(),
-                        new HttpServerKeepAliveHandler(), new HttpObjectAggregator(CALL_MOST), new ChunkedWriteHandler(), new Calls());
+                        new HttpServerKeepAliveHandler(), new HttpObjectAggregator(CALL_MOST),
+                        new ChunkedWriteHandler(), new Calls());
                 }
             }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
     }
--- a/src/test/java/wrenkeel/scale/StandInAgentTest.java
+++ b/src/test/java/wrenkeel/scale/StandInAgentTest.java
@@ -137,8 +137,8 @@
     @Test
     void aConnectionIsClosedBehindTheAnswerWhereTheCallerAsksForIt() throws IOException {
         try (Socket caller = new Socket(agent.address().getAddress(), agent.address().getPort())) {
-            caller.getOutputStream().write("GET /v1/servers HTTP/1.1\r\nHost: agent\r\nConnection: close\r\n\r\n"
-                .getBytes(StandardCharsets.ISO_8859_1));
+            caller.getOutputStream().write(("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n"
+                + "Connection: close\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
             String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(answer.endsWith(new String(catalog.whole(), StandardCharsets.UTF_8)));
         }
