Hold the list as rows of primitives, read as a stream, at a cost that follows the change

Seen: HostList parsed each text into a tree of maps, kept every host ever named as objects and counted by walking all of them. 323,000 hosts did not fit into the relay's heap.

Changed: hosts are rows in pages of primitive columns (HostTable), found by number or name and by destination over open addressing (RowIndex), with names and long addresses in a ByteArena. ListReader reads the text with Jackson's non-blocking parser in pieces of any length. What a list changes are rows that are not linked until its end has come, so that a list is taken in whole or not at all; what it says again costs a mark. Host objects and events exist for destinations that the module has been told of alone. Counts are kept; gone hosts are forgotten once the module holds nothing of them; a destination stays known as one number.

A drain while a list is being read holds until a later list names the host: the text may be older than the list of the process that told of the drain.

--- a/src/main/java/wrenkeel/Wire.java
+++ b/src/main/java/wrenkeel/Wire.java
@@ -25,7 +25,7 @@
     public static final class Malformed extends IOException {
         private static final long serialVersionUID = 1L;
 
-        Malformed(String fault) {
+        public Malformed(String fault) {
             super(fault);
         }
     }
--- a/src/main/java/wrenkeel/net/HostList.java
+++ b/src/main/java/wrenkeel/net/HostList.java
@@ -1,27 +1,36 @@
 package wrenkeel.net;
 
+import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.zip.CRC32;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.stream.Collectors;
 import wrenkeel.Relay;
+import wrenkeel.Relay.Endpoint;
+import wrenkeel.Relay.ListKind;
+import wrenkeel.Relay.Listing;
 import wrenkeel.Wire;
 
-/** The hosts that discovery has named: number, address and standing of each. */
+/**
+ * The hosts that discovery's list names. All of them are rows of a table; those of the destinations that the
+ * module has been told of are objects besides, and the module hears of these alone. A list is taken in whole
+ * or not at all. One thread.
+ */
 final class HostList {
-    private static final Logger LOG = LoggerFactory.getLogger(HostList.class);
-    /** Set in the numbers of sites that the settings do not name. */
-    private static final int UNNAMED = 1 << 30;
+    /** Bytes of a row, with its name and its part of the indexes; part of the heap that rows may fill. */
+    private static final int ROW_BYTES = 64, HEAP_PART = 2;
+    private static final int KINDS_MOST = 255, PIECE = 8 * 1024;
 
-    /** One host; {@code number} is what the module knows it by. */
+    /** A host of a destination that the module has been told of; {@code number} is what it knows it by. */
     static final class Host {
         final long number;
         final String name;
@@ -30,7 +39,7 @@
         int kind;
         long destination;
         boolean ready;
-        /** Named by the list as it stands, ready or draining. */
+        /** Named by the list as it stands, ready or draining, and of this destination. */
         boolean listed;
 
         Host(long number, String name) {
@@ -44,16 +53,40 @@
         }
     }
 
+    /**
+     * What a list has changed. {@code listed}: what the module is to be told; {@code unready}: hosts to which
+     * no call may go out any more that waits: not ready, gone, or of another destination now.
+     */
+    record Change(Relay.Listed listed, List<Host> unready) { }
+
     private final List<String> zones;
     private final List<String> kinds;
-    private final Map<String, Host> byName = new HashMap<>();
-    private final Map<Long, Host> byNumber = new HashMap<>();
-    private final Set<Long> destinations = new HashSet<>();
+    private final HostTable table;
+    /** By number; some are gone, and kept until the module holds nothing of them. */
+    private final Map<Long, Host> hosts = new HashMap<>();
+    /** The destinations that the module has been told of, with their hosts. */
+    private final Map<Long, Set<Host>> told = new HashMap<>();
+    private Reading reading;
     private long version = -1;
+    private int listed;
+    private int draining;
 
     HostList(List<String> zones, List<String> kinds) {
+        this(zones, kinds, (int) Math.min(Integer.MAX_VALUE,
+            Runtime.getRuntime().maxMemory() / HEAP_PART / ROW_BYTES));
+    }
+
+    /** {@code most}: rows, for hosts held and for what a list that is being read changes. */
+    HostList(List<String> zones, List<String> kinds, int most) {
+        if (kinds.size() > KINDS_MOST) {
+            throw new IllegalArgumentException("more than " + KINDS_MOST + " kinds");
+        }
         this.zones = zones;
         this.kinds = kinds;
+        this.table = new HostTable(most, number -> {
+            Host host = hosts.get(number);
+            return host == null ? null : host.name;
+        });
     }
 
     /** The version of the list held; -1 before the first. */
@@ -61,125 +94,409 @@
         return version;
     }
 
-    Host host(long number) {
-        return byNumber.get(number);
+    /** How many hosts the list names now, ready or draining. */
+    int listed() {
+        return listed;
     }
 
-    /** The host of this name; null if no list has named it. */
-    Host named(String name) {
-        return byName.get(name);
+    /** How many of these are not ready. */
+    int draining() {
+        return draining;
     }
 
-    /** How many hosts the list names now. */
-    int listed() {
-        return (int) byNumber.values().stream().filter(host -> host.listed).count();
+    /** Rows in use: as many as are listed, unless a list is being read. */
+    int rows() {
+        return table.rows();
     }
 
-    /** All hosts ever named. */
-    Collection<Host> hosts() {
-        return byNumber.values();
+    /** Rows that have ever been in use at one time. */
+    int room() {
+        return table.end();
     }
 
     /** True for a destination that a list has named; it stays one while all of its hosts are gone. */
     boolean knows(long destination) {
-        return destinations.contains(destination);
+        return table.knows(destination);
+    }
+
+    /** The destination of a listed host; null if the list names none of this name. */
+    Long destination(String name) {
+        byte[] bytes = name.getBytes(StandardCharsets.UTF_8);
+        int row = table.named(bytes, bytes.length);
+        return row == HostTable.NONE ? null : (Long) table.destination(row);
+    }
+
+    // ---- What the module has been told of -----------------------------------------------------------
+    boolean told(long destination) {
+        return told.containsKey(destination);
+    }
+
+    /** The module is to know this destination from now on: its listed hosts; null if it does already. */
+    Relay.Listed tell(long destination) {
+        if (told.containsKey(destination)) {
+            return null;
+        }
+        told.put(destination, new LinkedHashSet<>());
+        if (reading != null) {
+            reading.toldSince.add(destination);
+        }
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (int row : rowsOf(destination)) {
+            show(row);
+            endpoints.add(endpoint(row));
+        }
+        return new Relay.Listed(ListKind.CHANGES, endpoints);
     }
 
-    /** Takes a list or its changes in, and returns what the module is to be told. */
-    Relay.Listed update(Wire.Fields list) throws Wire.Malformed {
-        List<Relay.Endpoint> endpoints = new ArrayList<>();
-        List<Wire.Fields> entries = list.objects("hosts");
-        boolean whole = list.flag("whole");
-        long next = list.whole("seq");
-        Set<Host> named = new HashSet<>();
-        for (Wire.Fields entry : entries) {
-            Relay.Endpoint endpoint = endpoint(entry);
-            if (endpoint != null) {
-                endpoints.add(endpoint);
-                named.add(host(endpoint.id()));
+    /** The module has forgotten the destination. */
+    void release(long destination) {
+        Set<Host> released = told.remove(destination);
+        if (released != null) {
+            for (Host host : released) {
+                hosts.remove(host.number);
+                table.letGo(host.number, host.name);
             }
         }
-        if (whole) {
-            byNumber.values().stream().filter(h -> !named.contains(h)).forEach(Host::leave);
+    }
+
+    /** The module holds nothing of this host any more; it goes if the list does not name it. */
+    void forget(long number) {
+        Host host = hosts.get(number);
+        if (host != null && !host.listed) {
+            hosts.remove(number);
+            told.get(host.destination).remove(host);
+            table.letGo(number, host.name);
         }
-        version = next;
-        return new Relay.Listed(whole ? Relay.ListKind.WHOLE : Relay.ListKind.CHANGES, endpoints);
     }
 
-    /** A host that another process was told is draining or gone; this one's list is older. */
+    /** The host of this number, perhaps gone; null if the module has not been told of it. */
+    Host host(long number) {
+        return hosts.get(number);
+    }
+
+    /** The host of this name, perhaps gone; null if the module has not been told of it. */
+    Host named(String name) {
+        byte[] bytes = name.getBytes(StandardCharsets.UTF_8);
+        Host host = hosts.get(table.numberOf(bytes, bytes.length));
+        return host != null && host.name.equals(name) ? host : null;
+    }
+
+    /** A copy of the hosts of a destination, gone ones included; none if the module has not been told of it. */
+    Collection<Host> hostsOf(long destination) {
+        Set<Host> held = told.get(destination);
+        return held == null ? List.of() : List.copyOf(held);
+    }
+
+    /**
+     * A host that another process was told is draining or gone; this one's list is older. A list that is
+     * being read may be older too, for its text began before: the host drains until a later one names it.
+     */
     Relay.Listed drain(Host host) {
         host.ready = false;
-        return new Relay.Listed(Relay.ListKind.CHANGES, List.of(new Relay.Endpoint(host.number, host.zone,
-            host.kind, host.destination, Relay.Listing.DRAINING, 0)));
-    }
-
-    /** One entry; null, and a line in the log, for one that cannot be used. The others still count. */
-    private Relay.Endpoint endpoint(Wire.Fields entry) throws Wire.Malformed {
-        String name = entry.text("host");
-        Relay.Listing listing = switch (entry.text("health")) {
-            case "ready" -> Relay.Listing.READY;
-            case "draining" -> Relay.Listing.DRAINING;
-            case "gone" -> Relay.Listing.GONE;
-            default -> null;
-        };
-        int zone = zone(entry.text("site", ""));
-        int kind = kinds.indexOf(entry.text("class", ""));
-        Host host = byName.get(name);
-        if (listing == Relay.Listing.GONE && host == null) {
-            return null;
+        int row = table.numbered(host.number);
+        if (row != HostTable.NONE && table.destination(row) == host.destination) {
+            stands(row, true, false);
+            if (reading != null) {
+                table.set(row, HostTable.DRAINED, true);
+                reading.drained.add(host.number);
+            }
         }
-        if (listing == null || listing != Relay.Listing.GONE && kind < 0) {
-            LOG.warn("list entry of host {} left out: class or health is not known", name);
-            return null;
+        return new Relay.Listed(ListKind.CHANGES, List.of(new Endpoint(host.number, host.zone, host.kind,
+            host.destination, Listing.DRAINING, 0)));
+    }
+
+    /** In the order in which they were first listed, for the most part. */
+    private int[] rowsOf(long destination) {
+        int[] rows = new int[4];
+        int count = 0;
+        for (int row = table.firstOf(destination); row != HostTable.NONE; row = table.next(row)) {
+            if (table.has(row, HostTable.LISTED)) {
+                rows = count == rows.length ? Arrays.copyOf(rows, 2 * count) : rows;
+                rows[count++] = row;
+            }
         }
+        Arrays.sort(rows, 0, count);
+        return Arrays.copyOf(rows, count);
+    }
+
+    private Endpoint endpoint(int row) {
+        return new Endpoint(table.number(row), table.zone(row), table.kind(row), table.destination(row),
+            table.has(row, HostTable.READY) ? Listing.READY : Listing.DRAINING, table.share(row));
+    }
+
+    /** Brings the object of a listed host of a told destination up to its row, and makes it if need be. */
+    private Host show(int row) {
+        long destination = table.destination(row);
+        Host host = hosts.get(table.number(row));
         if (host == null) {
-            host = new Host(number(name), name);
-            byName.put(name, host);
-            byNumber.put(host.number, host);
+            host = new Host(table.number(row), table.name(row));
+            hosts.put(host.number, host);
+        } else if (host.destination != destination) {
+            told.get(host.destination).remove(host);
         }
-        host.ready = listing == Relay.Listing.READY;
-        host.listed = listing != Relay.Listing.GONE;
-        if (listing != Relay.Listing.GONE) {
-            try {
-                host.dial = Config.address(entry.text("dial"));
-            } catch (Config.Unusable e) {
-                LOG.warn("list entry of host {} left out: {}", name, e.getMessage());
-                host.leave();
-                listing = Relay.Listing.GONE;
+        told.get(destination).add(host);
+        host.destination = destination;
+        host.dial = table.dial(row);
+        host.zone = table.zone(row);
+        host.kind = table.kind(row);
+        host.ready = table.has(row, HostTable.READY);
+        host.listed = true;
+        return host;
+    }
+
+    private void stands(int row, boolean nowListed, boolean nowReady) {
+        boolean was = table.has(row, HostTable.LISTED);
+        listed += (nowListed ? 1 : 0) - (was ? 1 : 0);
+        draining += (nowListed && !nowReady ? 1 : 0) - (was && !table.has(row, HostTable.READY) ? 1 : 0);
+        table.set(row, HostTable.LISTED, nowListed);
+        table.set(row, HostTable.READY, nowReady);
+    }
+
+    // ---- Lists --------------------------------------------------------------------------------------
+    /** Takes in a list or its changes. */
+    Change take(InputStream text) throws IOException {
+        Reading whole = read();
+        try {
+            byte[] piece = new byte[PIECE];
+            for (int length = text.read(piece); length >= 0; length = text.read(piece)) {
+                whole.feed(piece, 0, length);
             }
-            host.zone = zone;
-            host.kind = kind;
-            host.destination = entry.whole("block");
-            destinations.add(host.destination);
+            return whole.end();
+        } finally {
+            whole.abandon();
         }
-        return new Relay.Endpoint(host.number, zone, Math.max(0, kind), entry.whole("block", 0), listing,
-            entry.number("share", 1));
     }
 
-    /**
-     * The place of a site among those that the settings name. The list may hold more sites than that: such a
-     * one has a number past them, which is the same after a restart, for the journal holds it.
-     */
-    private int zone(String site) {
-        int named = zones.indexOf(site);
-        return named >= 0 ? named : UNNAMED | (int) crc(site) & UNNAMED - 1;
+    /** Begins to read a list or its changes; one that is still being read is abandoned. */
+    Reading read() {
+        if (reading != null) {
+            reading.abandon();
+        }
+        reading = new Reading();
+        return reading;
     }
 
-    private static long crc(String text) {
-        CRC32 crc = new CRC32();
-        crc.update(text.getBytes(StandardCharsets.UTF_8));
-        return crc.getValue();
-    }
+    /** One list that is being read. What it changes are rows that are not linked, until its end has come. */
+    final class Reading {
+        private final ListReader text = new ListReader(zones, kinds, this::read);
+        /** The entries that change something, or concern the module, in their order. */
+        private int first = HostTable.NONE;
+        private int last = HostTable.NONE;
+        /** Some rows are marked as seen. */
+        private boolean marked;
+        private final List<Long> drained = new ArrayList<>();
+        private final Set<Long> toldSince = new LinkedHashSet<>();
+        private final List<Endpoint> endpoints = new ArrayList<>();
+        private final Set<Host> unready = new LinkedHashSet<>();
+        /** Rows that have left the list or their destination. */
+        private int[] left = new int[16];
+        private int leftCount;
 
-    /**
-     * A number below 2^32 that is the same at every relay; of two names that collide the later one is hashed
-     * on.
-     */
-    private long number(String name) {
-        CRC32 crc = new CRC32();
-        do {
-            crc.update(name.getBytes(StandardCharsets.UTF_8));
-        } while (byNumber.containsKey(crc.getValue()));
-        return crc.getValue();
+        private Reading() { }
+
+        /** Reads a piece of the text, cut anywhere. After a fault nothing of the list stays. */
+        void feed(byte[] bytes, int from, int length) throws Wire.Malformed {
+            boolean good = false;
+            try {
+                underWay();
+                text.feed(bytes, from, length);
+                good = true;
+            } finally {
+                if (!good) {
+                    abandon();
+                }
+            }
+        }
+
+        /** The text is complete: from now on the list holds, or, after a fault, nothing of it. */
+        Change end() throws Wire.Malformed {
+            try {
+                underWay();
+                text.end();
+                return apply();
+            } finally {
+                abandon();
+            }
+        }
+
+        /** Nothing of the list stays. Does nothing once its end has come. */
+        void abandon() {
+            if (reading != this) {
+                return;
+            }
+            reading = null;
+            for (int entry = first; entry != HostTable.NONE;) {
+                int next = table.next(entry);
+                int row = table.host(entry);
+                if (row != HostTable.NONE) {
+                    table.set(row, HostTable.CHANGED, false);
+                }
+                table.free(entry);
+                entry = next;
+            }
+            for (int row = 0; marked && row < table.end(); row++) {
+                table.set(row, HostTable.SEEN, false);
+            }
+            for (long number : drained) {
+                int row = table.numbered(number);
+                if (row != HostTable.NONE) {
+                    table.set(row, HostTable.DRAINED, false);
+                }
+            }
+            table.tidy();
+            text.close();
+        }
+
+        private void underWay() throws Wire.Malformed {
+            if (reading != this) {
+                throw new Wire.Malformed("the list has been abandoned");
+            }
+        }
+
+        private void read(ListReader.Entry entry) throws Wire.Malformed {
+            int row = table.named(entry.name, entry.nameLength);
+            boolean known = row != HostTable.NONE;
+            if (known && text.mayBeWhole()) {
+                table.set(row, HostTable.SEEN, true);
+                marked = true;
+            }
+            // The module hears of what is named again too; and a later entry counts, not an earlier one.
+            if (known && table.same(row, entry) && !table.has(row, HostTable.CHANGED)
+                && !told.containsKey(entry.destination)) {
+                return;
+            }
+            int added = table.add(entry, row);
+            if (known) {
+                table.set(row, HostTable.CHANGED, true);
+            }
+            if (last == HostTable.NONE) {
+                first = added;
+            } else {
+                table.next(last, added);
+            }
+            last = added;
+        }
+
+        private Change apply() {
+            while (first != HostTable.NONE) {
+                int entry = first;
+                first = table.next(entry);
+                apply(entry);
+            }
+            if (text.whole()) {
+                dropUnseen();
+                toldSince.forEach(this::addMissing);
+            } else {
+                for (int i = 0; i < leftCount; i++) {
+                    if (table.has(left[i], HostTable.LINKED) && !table.has(left[i], HostTable.LISTED)) {
+                        table.prune(table.destination(left[i]));
+                    }
+                }
+            }
+            version = text.version();
+            return new Change(new Relay.Listed(text.whole() ? ListKind.WHOLE : ListKind.CHANGES, endpoints),
+                List.copyOf(unready));
+        }
+
+        private void apply(int entry) {
+            int row = table.host(entry);
+            boolean known = row != HostTable.NONE;
+            if (known) {
+                table.set(row, HostTable.CHANGED, false);
+            }
+            if (table.has(entry, HostTable.GONE)) {
+                if (table.has(entry, HostTable.UNDIALABLE)) {
+                    table.know(table.destination(entry));
+                }
+                table.free(entry);
+                if (known && table.has(row, HostTable.LISTED)) {
+                    leave(row, true);
+                }
+                return;
+            }
+            boolean ready = table.has(entry, HostTable.READY)
+                && !(known && table.has(row, HostTable.DRAINED));
+            if (!known) {
+                table.link(entry);
+                row = entry;
+            } else if (table.destination(row) == table.destination(entry)) {
+                table.update(row, entry);
+            } else {
+                stands(row, false, false);
+                table.move(row, entry);
+                left(row);
+                row = entry;
+            }
+            table.set(row, HostTable.SEEN, text.whole());
+            stands(row, true, ready);
+            listed(row);
+        }
+
+        /** Tells of a host that the list names. */
+        private void listed(int row) {
+            Host host = hosts.get(table.number(row));
+            boolean moved = host != null && host.listed && host.destination != table.destination(row);
+            if (told.containsKey(table.destination(row))) {
+                host = show(row);
+                endpoints.add(endpoint(row));
+                if (moved || !host.ready) {
+                    unready.add(host);
+                }
+            } else if (moved) {
+                gone(host, true);
+            }
+        }
+
+        private void leave(int row, boolean tell) {
+            stands(row, false, false);
+            left(row);
+            Host host = hosts.get(table.number(row));
+            if (host != null && host.listed) {
+                gone(host, tell);
+            }
+        }
+
+        private void gone(Host host, boolean tell) {
+            host.leave();
+            unready.add(host);
+            if (tell) {
+                endpoints.add(new Endpoint(host.number, host.zone, host.kind, host.destination, Listing.GONE, 0));
+            }
+        }
+
+        private void left(int row) {
+            left = leftCount == left.length ? Arrays.copyOf(left, 2 * leftCount) : left;
+            left[leftCount++] = row;
+        }
+
+        /** A whole list leaves out what is gone; the module sees that by itself. */
+        private void dropUnseen() {
+            for (int row = 0; row < table.end(); row++) {
+                if (table.has(row, HostTable.LISTED) && !table.has(row, HostTable.SEEN)) {
+                    leave(row, false);
+                }
+            }
+            for (int row = 0; row < table.end(); row++) {
+                if (table.has(row, HostTable.LINKED)) {
+                    table.set(row, HostTable.SEEN, false);
+                    if (!table.has(row, HostTable.LISTED)) {
+                        table.prune(table.destination(row));
+                    }
+                }
+            }
+            marked = false;
+        }
+
+        /** Hosts whose entries came before the module was told of their destination, and said nothing new. */
+        private void addMissing(long destination) {
+            Set<Long> there = endpoints.stream().map(Endpoint::id).collect(Collectors.toCollection(HashSet::new));
+            if (told.containsKey(destination)) {
+                for (int row : rowsOf(destination)) {
+                    if (!there.contains(table.number(row))) {
+                        endpoints.add(endpoint(row));
+                    }
+                }
+            }
+        }
     }
 }
