--- a/src/main/java/wrenkeel/net/ListReader.java
+++ b/src/main/java/wrenkeel/net/ListReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.async.ByteArrayFeeder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,7 +18,10 @@
 /** Reads the text of one list as it comes, in pieces of any length, and passes its entries on. One thread. */
 final class ListReader {
     private static final Logger LOG = LoggerFactory.getLogger(ListReader.class);
-    private static final JsonFactory JSON = new JsonFactory();
+    /** Characters of the longest string that is read, of whatever field; it is held in memory. */
+    private static final int STRING_MOST = 64 * 1024;
+    private static final JsonFactory JSON = JsonFactory.builder().streamReadConstraints(
+        StreamReadConstraints.builder().maxStringLength(STRING_MOST).build()).build();
     /** Set in the numbers of sites that the settings do not name. */
     private static final int UNNAMED = 1 << 30;
     /** Entries left out that are named in the log; of the rest, it tells how many they are. */
