Read the list as a stream into rows of primitives; the module knows only what has work

Cause, confirmed by the measured table and by reading: every answer of the list became a tree of maps and made all destinations active; the list held 3 KB a host, was counted by walking all hosts ten times a second; a list over 8 MB was asked for again after 100 ms without end, because its answer was given up after 500 ms; Config held the file and its list as trees. A list that comes and cannot be taken in is told in one line, counted (list_faults) and asked for again by growing gaps; an agent that does not answer is asked again after 100 ms as before. Endpoints that move between destinations serve the new one only; their wait goes with them.

--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -14,13 +16,16 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.StringWriter;
@@ -29,8 +34,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wrenkeel.Wire;
@@ -49,13 +56,20 @@
     private static final long AT_ONCE = 1, AT_ONCE_PATIENCE = 500;
     /** ms; a notice not acknowledged within this is posted again; gap between tries of either sort. */
     private static final long NOTICE_PATIENCE = 2_000, AGAIN = 100;
-    private static final int LIST_MOST = 8 << 20, NOTICES_MOST = 100;
+    /**
+     * ms; gap after a list that came and could not be taken in: doubled each time up to the most, a random
+     * part of it taken off. With the calls themselves it stays inside the 6 s after which a change is told.
+     */
+    static final long FAULT_GAP = 100, FAULT_GAP_MOST = 4_000;
+    /** Bytes a list may have; bytes for each of which an answer that comes in has another 1/1,000 ms. */
+    private static final long LIST_MOST = 256L << 20, BYTES_A_MS = 1_000;
+    private static final int NOTICES_MOST = 100;
 
     private final EventLoop loop;
     private final HostList hosts;
-    /** Takes in a list or its changes. */
+    /** Told what a list or its changes, taken in whole, have changed. */
     interface Listener {
-        void listed(Wire.Fields list) throws Wire.Malformed;
+        void listed(HostList.Change change);
     }
 
     private final Listener whenListed;
@@ -70,6 +84,8 @@
     /** The latest call for the list was answered: only then may the next one wait. */
     private boolean current;
     private boolean unheard;
+    /** Lists that came and could not be taken in: since the start, and since the last that could. */
+    private long faults, faultsInARow;
 
     Discovery(EventLoop loop, Bootstrap bootstrap, InetSocketAddress agent, HostList hosts,
               Listener whenListed, Consumer<Journal.Entry> whenNoticed) {
@@ -89,25 +105,45 @@
         long wait = current ? WAIT : AT_ONCE;
         String query = hosts.version() < 0 ? "" : "?after=" + hosts.version() + "&wait_ms=" + wait;
         long patience = current ? WAIT + WAIT_SLACK : AT_ONCE_PATIENCE;
-        watch.ask(HttpMethod.GET, "/v1/servers" + query, "", patience, answer -> {
-            current = false;
-            try {
-                if (answer != null && answer.status().code() == 200) {
-                    whenListed.listed(Wire.decode(answer.content().toString(StandardCharsets.UTF_8)));
-                    silent = false;
-                    current = true;
-                    watch();
-                    return;
-                }
-                complain("discovery answered " + (answer == null ? "nothing" : answer.status()), null);
-            } catch (Wire.Malformed e) {
-                complain("discovery's list cannot be read: " + e.getMessage(), null);
-            } catch (RuntimeException e) {
-                // Guards the watch: it must go on whatever the list held.
-                complain("discovery's list could not be taken in", e);
+        watch.ask(HttpMethod.GET, "/v1/servers" + query, "", patience, hosts::read, this::answered);
+    }
+
+    private void answered(Answer answer) {
+        current = false;
+        long gap = AGAIN;
+        try {
+            if (answer.list != null) {
+                whenListed.listed(answer.list);
+                silent = false;
+                current = true;
+                faultsInARow = 0;
+                watch();
+                return;
             }
-            loop.schedule(this::watch, AGAIN, TimeUnit.MILLISECONDS);
-        });
+            if (answer.fault != null) {
+                gap = gap(faultsInARow++, ThreadLocalRandom.current().nextDouble());
+                faults++;
+                complain("discovery's list cannot be taken in: " + answer.fault, null);
+            } else {
+                faultsInARow = 0;
+                complain("discovery answered " + (answer.status == 0 ? "nothing" : answer.status), null);
+            }
+        } catch (RuntimeException e) {
+            // Guards the watch: it must go on whatever the list held.
+            complain("discovery's list could not be taken in", e);
+        }
+        loop.schedule(this::watch, gap, TimeUnit.MILLISECONDS);
+    }
+
+    /** ms until the list is asked for again, after so many faults in a row before this one. */
+    static long gap(long before, double random) {
+        long most = Math.min(FAULT_GAP_MOST, FAULT_GAP << Math.min(before, 10));
+        return before == 0 ? most : (long) (most * (1 - random / 2));
+    }
+
+    /** Lists that came and could not be taken in, since the start. */
+    long faults() {
+        return faults;
     }
 
     /** Goes on at another address; what is under way at the old one is asked or posted there again. */
@@ -147,8 +183,8 @@
             return;
         }
         List<Journal.Entry> batch = notices.values().stream().limit(singly ? 1 : NOTICES_MOST).toList();
-        reports.ask(HttpMethod.POST, "/reports", lines(batch), NOTICE_PATIENCE, answer -> {
-            if (answer != null && answer.status().code() == 204) {
+        reports.ask(HttpMethod.POST, "/reports", lines(batch), NOTICE_PATIENCE, null, answer -> {
+            if (answer.status == 204) {
                 unheard = false;
                 for (Journal.Entry entry : batch) {
                     notices.remove(entry.number);
@@ -158,10 +194,10 @@
             } else {
                 if (!unheard) {
                     LOG.warn("{} notices not acknowledged ({}), posted until they are", batch.size(),
-                        answer == null ? "no answer" : answer.status());
+                        answer.status == 0 ? "no answer" : answer.status);
                 }
                 unheard = true;
-                if (answer != null && answer.status().code() == 400) {
+                if (answer.status == 400) {
                     singly = true;
                     // Behind the others; it is still owed, and tried again.
                     batch.forEach(entry -> notices.put(entry.number, notices.remove(entry.number)));
@@ -191,13 +227,28 @@
         return text.toString();
     }
 
+    /** What became of a request; {@code status} is 0 where no answer came in time. */
+    private static final class Answer {
+        int status;
+        /** What the list asked for has changed, or why it could not be taken in; null where neither is so. */
+        HostList.Change list;
+        String fault;
+    }
+
     /** One kept connection to the agent, which carries one request at a time. */
     private final class Line {
         private final Bootstrap bootstrap;
         private InetSocketAddress agent;
         private Channel channel;
-        private Consumer<FullHttpResponse> waiting;
+        private Consumer<Answer> waiting;
         private Future<?> timer;
+        /** The answer that is coming in, its bytes so far, and where a list in it goes; null for none. */
+        private Answer answer;
+        private long received;
+        private boolean keep;
+        private Supplier<HostList.Reading> lists;
+        private HostList.Reading reading;
+        private long askedAt, patience;
 
         Line(Bootstrap bootstrap, InetSocketAddress agent) {
             this.agent = agent;
@@ -207,17 +258,25 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel fresh) {
-                        fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LIST_MOST),
-                            new Reader());
+                        fresh.pipeline().addLast(new HttpClientCodec(), new Reader());
                     }
                 });
         }
 
-        /** Sends a request; its answer, or null for none in time, comes exactly once. */
-        void ask(HttpMethod method, String uri, String body, long patience,
-            Consumer<FullHttpResponse> whenAnswered) {
+        /**
+         * Sends a request; what became of it comes exactly once. {@code list}: makes what takes the body of
+         * an answer with 200, as that begins; null where none is asked for. An answer that keeps coming in
+         * has longer than {@code patience} ms.
+         */
+        void ask(HttpMethod method, String uri, String body, long patience, Supplier<HostList.Reading> list,
+            Consumer<Answer> whenAnswered) {
             waiting = whenAnswered;
-            timer = loop.schedule(() -> answered(channel, null), patience, TimeUnit.MILLISECONDS);
+            answer = new Answer();
+            lists = list;
+            received = 0;
+            askedAt = System.nanoTime();
+            this.patience = patience;
+            timer = loop.schedule(this::late, patience, TimeUnit.MILLISECONDS);
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri,
                 Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
             request.headers().set(HttpHeaderNames.HOST,
@@ -233,7 +292,7 @@
                         write(connect.channel(), request);
                     } else {
                         request.release();
-                        answered(connect.channel(), null);
+                        broken(connect.channel());
                     }
                 });
             }
@@ -246,40 +305,125 @@
             if (old != null) {
                 old.close();
             }
-            answered(null, null);
+            if (waiting != null) {
+                ended(0, null);
+            }
         }
 
         private void write(Channel to, FullHttpRequest request) {
             to.writeAndFlush(request).addListener(done -> {
                 if (!done.isSuccess()) {
-                    answered(to, null);
+                    broken(to);
                 }
             });
         }
 
-        private void answered(Channel from, FullHttpResponse answer) {
-            if (from != channel || waiting == null) {
-                return;
+        /** A long list takes a while to come in and be read: no answer that goes on is given up for that. */
+        private void late() {
+            long due = patience + received / BYTES_A_MS;
+            long passed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - askedAt);
+            if (passed < due) {
+                timer = loop.schedule(this::late, due - passed, TimeUnit.MILLISECONDS);
+            } else {
+                broken(channel);
             }
-            if (from != null && (answer == null || !HttpUtil.isKeepAlive(answer))) {
-                channel = null;
-                from.close();
+        }
+
+        /** No answer will come, or no more of one that has begun. */
+        private void broken(Channel from) {
+            if (from == channel && waiting != null) {
+                drop();
+                boolean cut = reading != null;
+                ended(cut ? answer.status : 0, cut ? "cut after " + received + " bytes" : null);
+            }
+        }
+
+        private void drop() {
+            Channel old = channel;
+            channel = null;
+            if (old != null) {
+                old.close();
             }
+        }
+
+        private void ended(int status, String fault) {
             timer.cancel(false);
-            Consumer<FullHttpResponse> told = waiting;
+            if (reading != null && answer.list == null) {
+                reading.abandon();
+            }
+            reading = null;
+            answer.status = status;
+            answer.fault = fault;
+            Consumer<Answer> told = waiting;
             waiting = null;
             told.accept(answer);
         }
 
-        private final class Reader extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final class Reader extends SimpleChannelInboundHandler<HttpObject> {
             @Override
-            protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-                answered(context.channel(), answer.decoderResult().isFailure() ? null : answer);
+            protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+                if (context.channel() != channel || waiting == null) {
+                    return;
+                }
+                if (part.decoderResult().isFailure()) {
+                    broken(channel);
+                    return;
+                }
+                if (part instanceof HttpResponse head) {
+                    answer.status = head.status().code();
+                    keep = HttpUtil.isKeepAlive(head);
+                    boolean list = lists != null && answer.status == HttpResponseStatus.OK.code();
+                    reading = list ? lists.get() : null;
+                    if (HttpUtil.getContentLength(head, 0L) > LIST_MOST) {
+                        refuse("it has more than " + LIST_MOST + " bytes");
+                    }
+                }
+                if (part instanceof HttpContent content && waiting != null) {
+                    taken(content.content(), part instanceof LastHttpContent);
+                }
+            }
+
+            private void taken(ByteBuf bytes, boolean last) {
+                received += bytes.readableBytes();
+                try {
+                    if (received > LIST_MOST) {
+                        throw new Wire.Malformed("it has more than " + LIST_MOST + " bytes");
+                    }
+                    if (reading != null) {
+                        feed(bytes);
+                        answer.list = last ? reading.end() : null;
+                    }
+                } catch (Wire.Malformed e) {
+                    refuse(e.getMessage());
+                    return;
+                }
+                if (last) {
+                    if (!keep) {
+                        drop();
+                    }
+                    ended(answer.status, null);
+                }
+            }
+
+            private void feed(ByteBuf bytes) throws Wire.Malformed {
+                if (bytes.hasArray()) {
+                    reading.feed(bytes.array(), bytes.arrayOffset() + bytes.readerIndex(),
+                        bytes.readableBytes());
+                } else {
+                    byte[] copy = ByteBufUtil.getBytes(bytes);
+                    reading.feed(copy, 0, copy.length);
+                }
+            }
+
+            /** The rest of the answer is not read: the connection ends. */
+            private void refuse(String fault) {
+                drop();
+                ended(answer.status, fault);
             }
 
             @Override
             public void channelInactive(ChannelHandlerContext context) {
-                answered(context.channel(), null);
+                broken(context.channel());
             }
 
             @Override
--- a/src/main/java/wrenkeel/net/Knowledge.java
+++ b/src/main/java/wrenkeel/net/Knowledge.java
@@ -6,6 +6,7 @@
 import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import java.util.function.LongUnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -27,6 +28,9 @@
             out.writeArrayFieldStart("known");
             for (Relay.Known known : all) {
                 HostList.Host host = hosts.host(known.endpoint());
+                if (host == null) {
+                    continue;
+                }
                 out.writeStartObject();
                 out.writeStringField("host", host.name);
                 out.writeBooleanField("ready", host.ready);
@@ -46,14 +50,18 @@
         return text.toString();
     }
 
-    /** Text that cannot be read tells nothing: this process then learns as one does after a restart. */
-    static List<Relay.Event> read(String text, HostList hosts, LongUnaryOperator toModule) {
+    /**
+     * Text that cannot be read tells nothing: this process then learns as one does after a restart.
+     * {@code named}: the host of a name, made known to the module before these events; null if none.
+     */
+    static List<Relay.Event> read(String text, HostList hosts, Function<String, HostList.Host> named,
+                                  LongUnaryOperator toModule) {
         List<Relay.Event> events = new ArrayList<>();
         try {
             Wire.Fields all = Wire.decode(text);
             boolean newer = all.whole("seq") > hosts.version();
             for (Wire.Fields f : all.objects("known")) {
-                HostList.Host host = hosts.named(f.text("host"));
+                HostList.Host host = named.apply(f.text("host"));
                 if (host == null) {
                     continue;
                 }
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,7 +17,6 @@
 import org.slf4j.LoggerFactory;
 import wrenkeel.Control;
 import wrenkeel.Relay;
-import wrenkeel.Wire;
 
 /**
  * Drives the module: what happens on the sockets becomes events, what the module asks for is carried out in
@@ -27,8 +27,8 @@
     /** us; told to a client that is turned away before the module has seen its message. */
     private static final long COME_BACK = 1_000_000;
     private static final long AFTER_FAULT = 100_000;
-    /** ms between looks at what stands rather than is counted. */
-    private static final long STAND = 100;
+    /** ms between looks at what stands rather than is counted, and at what the module may release. */
+    private static final long STAND = 100, RELEASE = 1_000;
 
     /**
      * How a message handed in was met. A client that could not be told must be reported to {@link #withdraw}.
@@ -87,6 +87,8 @@
     private boolean leaving;
     private Map<Long, Integer> outElsewhere = Map.of();
     private int open;
+    /** Destinations that the module has been told of and has not released. */
+    private int introduced;
 
     Loop(EventLoop loop, Config config, HostList hosts, HostPool pool, Journal journal, Figures figures,
          Agent agent) {
@@ -134,26 +136,56 @@
         Discovery open(Discovery.Listener whenListed, Consumer<Journal.Entry> whenNoticed);
     }
 
-    /** Tells the module the list as last had, then begins to watch. */
-    void start(Wire.Fields known) throws Wire.Malformed {
-        if (!known.values().isEmpty()) {
-            tell(hosts.update(known));
+    /** Takes in the list as last had, then begins to watch. One that cannot be read is told and left out. */
+    void start(KnownList known) {
+        if (!known.none()) {
+            try (InputStream text = known.open()) {
+                hosts.take(text);
+            } catch (IOException e) {
+                LOG.warn("the list of before cannot be taken in, begun without: {}", e.getMessage());
+            }
         }
         tell(new Relay.ListAsked());
         turn();
         discovery.watch();
         loop.scheduleWithFixedDelay(this::stand, 0, STAND, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::release, RELEASE, RELEASE, TimeUnit.MILLISECONDS);
     }
 
     private void stand() {
-        figures.stands(journal.size(), hosts.listed(), control.unavailable());
+        int unavailable = control.unavailable() + hosts.draining();
+        figures.stands(journal.size(), hosts.listed(), unavailable, hosts.version(), discovery.faults());
+    }
+
+    private void release() {
+        if (introduced > 0) {
+            tell(new Relay.Release());
+        }
+    }
+
+    /** Before the module hears of a destination, it is told of its endpoints. */
+    private void introduce(long destination) {
+        Relay.Listed listed = hosts.tell(destination);
+        if (listed != null) {
+            introduced++;
+            tell(new Relay.Introduced(listed.endpoints()));
+        }
+    }
+
+    /** The host of this name, introduced if need be; null if the list does not name it. */
+    private HostList.Host named(String name) {
+        Long destination = hosts.destination(name);
+        if (destination != null) {
+            introduce(destination);
+        }
+        return hosts.named(name);
     }
 
     /** Goes on with what processes before this one have left, once they have ended or passed it on. */
     void adopt() throws IOException {
         journal.adopt(this::owed);
         journal.waits().forEach((host, until) -> {
-            HostList.Host told = hosts.named(host);
+            HostList.Host told = named(host);
             if (told != null) {
                 tell(new Relay.Known(told.number, moduleTime(until), 0, false, 0, 0, 0, 0));
             }
@@ -163,6 +195,7 @@
         changed.addAll(outElsewhere.keySet());
         for (long destination : changed) {
             if (!out.getOrDefault(destination, 0).equals(outElsewhere.getOrDefault(destination, 0))) {
+                introduce(destination);
                 tell(new Relay.Elsewhere(destination, out.getOrDefault(destination, 0)));
             }
         }
@@ -193,7 +226,7 @@
 
     /** Takes in what the process before this one has left. */
     void learn(String knowledge) {
-        Knowledge.read(knowledge, hosts, this::moduleTime).forEach(this::tell);
+        Knowledge.read(knowledge, hosts, this::named, this::moduleTime).forEach(this::tell);
     }
 
     /** The deadline passes into the module's clock; earlier attempts keep their distance from now. */
@@ -212,6 +245,7 @@
             h.untried = true;
             takenUp.untried();
         }
+        introduce(h.message.destination());
         tell(accepted(h, true, earlier));
     }
 
@@ -277,6 +311,7 @@
         held.put(message.id(), h);
         open++;
         unanswered.put(message.id(), answer);
+        introduce(message.destination());
         tell(accepted(h, false, List.of()));
     }
 
@@ -405,8 +440,14 @@
             if (part != null) {
                 part.cancel();
             }
-        } else if (action instanceof Relay.Close a) {
+        } else if (action instanceof Relay.Close a && hosts.host(a.endpoint()) != null) {
             pool.closeIdle(hosts.host(a.endpoint()));
+        } else if (action instanceof Relay.Forgotten a) {
+            hosts.forget(a.endpoint());
+        } else if (action instanceof Relay.Released a) {
+            hosts.hostsOf(a.destination()).forEach(pool::closeIdle);
+            hosts.release(a.destination());
+            introduced--;
         } else if (action instanceof Relay.Wake a) {
             loop.schedule(() -> tell(new Relay.Due()), a.after(), TimeUnit.MICROSECONDS);
         } else if (action instanceof Relay.Log a) {
@@ -417,7 +458,8 @@
     // ---- Calls ----------------------------------------------------------------------------------
     private void send(Relay.Send a) {
         Held h = held.get(a.id());
-        HostList.Host host = hosts.host(a.endpoint());
+        HostList.Host listed = hosts.host(a.endpoint());
+        HostList.Host host = listed == null ? new HostList.Host(a.endpoint(), "unlisted") : listed;
         if (h == null) {
             return;
         }
@@ -464,8 +506,7 @@
             wait(host, reply.waitFor());
             // Guards the rule on waits: calls there that still wait for their connection do not go out.
             boolean apart = settings.kinds().get(host.kind).apart();
-            hosts.hosts().stream().filter(other -> other == host
-                || !apart && other.destination == host.destination).forEach(pool::takeBack);
+            (apart ? List.of(host) : hosts.hostsOf(host.destination)).forEach(pool::takeBack);
         }
         boolean over = h.over || reply.over();
         if (!h.over) {
@@ -582,13 +623,11 @@
     }
 
     // ---- List -----------------------------------------------------------------------------------
-    private void listed(Wire.Fields list) throws Wire.Malformed {
-        tell(hosts.update(list));
-        for (HostList.Host host : hosts.hosts()) {
-            if (!host.ready) {
-                pool.takeBack(host);
-                pool.closeIdle(host);
-            }
+    private void listed(HostList.Change change) {
+        tell(change.listed());
+        for (HostList.Host host : change.unready()) {
+            pool.takeBack(host);
+            pool.closeIdle(host);
         }
     }
 }
