Hold a host's site and share in 6 bytes rather than 12

Most shares are floats; the others keep their 8 bytes aside. The comparison test now also draws shares that no float holds.

--- a/src/main/java/wrenkeel/net/HostTable.java
+++ b/src/main/java/wrenkeel/net/HostTable.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -29,21 +30,25 @@
     static final int SEEN = 8, CHANGED = 16, DRAINED = 32;
     /** Flags of an entry: its host is gone; no address was to be read from it. */
     static final int GONE = 64, UNDIALABLE = 128;
-    /** The address has 16 bytes, and is in the arena. */
-    private static final int LONG_ADDRESS = 256;
+    /** The address has 16 bytes, or the share needs a double's bits: that is in the arena. */
+    private static final int LONG_ADDRESS = 256, LONG_SHARE = 512;
     private static final int PAGE_BITS = 10, PAGE = 1 << PAGE_BITS;
     /** Bytes of a name, of a mean name and of an address of IP version 6. */
     private static final int NAME_MEAN = 32, LONG_BYTES = 16;
+    /** Sites that can be told apart. */
+    private static final int SITES_MOST = Character.MAX_VALUE;
     private static final int ARENA_LEAST = 1 << 20;
 
-    /** Columns of some rows; {@code next}: row of the same destination, of the same list, or free. */
+    /**
+     * Columns of some rows; {@code site}: place of the zone; {@code share}: bits of a float, or place in the
+     * arena; {@code next}: row of the same destination, of the same list, or free. */
     private static final class Page {
         final int[] number = new int[PAGE];
-        final int[] zone = new int[PAGE];
+        final char[] site = new char[PAGE];
         final byte[] kind = new byte[PAGE];
         final short[] flags = new short[PAGE];
         final long[] destination = new long[PAGE];
-        final double[] share = new double[PAGE];
+        final int[] share = new int[PAGE];
         final int[] address = new int[PAGE];
         final char[] port = new char[PAGE];
         final int[] name = new int[PAGE];
@@ -65,6 +70,9 @@
     private final Set<Long> bare = new HashSet<>();
     /** By their CRC-32, the names whose number is another one, with that. */
     private final IntObjectHashMap<Map<String, Integer>> hashedOn = new IntObjectHashMap<>();
+    /** The zones of all sites that were ever named, and the place of each. */
+    private int[] zones = new int[8];
+    private final IntObjectHashMap<Character> sites = new IntObjectHashMap<>();
     private final CRC32 crc = new CRC32();
     private final byte[] scratch = new byte[ByteArena.LONGEST];
 
@@ -106,7 +114,7 @@
     }
 
     int zone(int row) {
-        return page(row).zone[row & PAGE - 1];
+        return zones[page(row).site[row & PAGE - 1]];
     }
 
     int kind(int row) {
@@ -118,7 +126,33 @@
     }
 
     double share(int row) {
-        return page(row).share[row & PAGE - 1];
+        int held = page(row).share[row & PAGE - 1];
+        if (!has(row, LONG_SHARE)) {
+            return Float.intBitsToFloat(held);
+        }
+        byte[] bytes = new byte[Double.BYTES];
+        arena.read(held, bytes);
+        return ByteBuffer.wrap(bytes).getDouble();
+    }
+
+    /** A float's bits where they say all, as for most shares; else a place in the arena. */
+    private int hold(double share, boolean isLong) {
+        return isLong ? arena.add(ByteBuffer.allocate(Double.BYTES).putDouble(share).array(), Double.BYTES)
+            : Float.floatToIntBits((float) share);
+    }
+
+    private char site(int zone) throws Wire.Malformed {
+        Character held = sites.get(zone);
+        if (held == null) {
+            if (sites.size() == SITES_MOST) {
+                throw new Wire.Malformed("more than " + SITES_MOST + " sites");
+            }
+            held = (char) sites.size();
+            zones = held == zones.length ? Arrays.copyOf(zones, 2 * held) : zones;
+            zones[held] = zone;
+            sites.put(zone, held);
+        }
+        return held;
     }
 
     int next(int row) {
@@ -168,20 +202,22 @@
         if (arena.size() > Math.max(ARENA_LEAST, (long) most * NAME_MEAN)) {
             throw new Wire.Malformed("names of more than " + arena.size() + " bytes in all");
         }
+        char site = site(entry.zone);
         int row = allocate();
         Page page = page(row);
         int at = row & PAGE - 1;
         boolean isLong = entry.longAddress != null;
+        boolean isLongShare = (float) entry.share != entry.share;
         page.number[at] = host == NONE ? crc(entry.name, entry.nameLength) : (int) number(host);
         page.name[at] = host == NONE ? arena.add(entry.name, entry.nameLength) : NONE;
-        page.zone[at] = entry.zone;
+        page.site[at] = site;
         page.kind[at] = (byte) entry.kind;
         page.destination[at] = entry.destination;
-        page.share[at] = entry.share;
+        page.share[at] = hold(entry.share, isLongShare);
         page.address[at] = isLong ? arena.add(entry.longAddress, LONG_BYTES) : entry.address;
         page.port[at] = (char) entry.port;
         page.next[at] = NONE;
-        page.flags[at] = (short) ((isLong ? LONG_ADDRESS : 0)
+        page.flags[at] = (short) ((isLong ? LONG_ADDRESS : 0) | (isLongShare ? LONG_SHARE : 0)
             | (entry.listing == Relay.Listing.READY ? READY : 0)
             | (entry.listing == Relay.Listing.GONE ? GONE : 0) | (entry.undialable ? UNDIALABLE : 0));
         return row;
@@ -205,7 +241,7 @@
             ? entry.longAddress != null && arena.holds(page.address[at], entry.longAddress, LONG_BYTES)
             : entry.longAddress == null && page.address[at] == entry.address;
         return address && page.port[at] == entry.port && page.destination[at] == entry.destination
-            && page.zone[at] == entry.zone && kind(row) == entry.kind && page.share[at] == entry.share
+            && zone(row) == entry.zone && kind(row) == entry.kind && share(row) == entry.share
             && entry.listing == (has(row, READY) ? Relay.Listing.READY : Relay.Listing.DRAINING);
     }
 
@@ -218,13 +254,17 @@
         if (has(row, LONG_ADDRESS)) {
             arena.free(to.address[at]);
         }
-        to.zone[at] = from.zone[source];
+        if (has(row, LONG_SHARE)) {
+            arena.free(to.share[at]);
+        }
+        to.site[at] = from.site[source];
         to.kind[at] = from.kind[source];
         to.share[at] = from.share[source];
         to.address[at] = from.address[source];
         to.port[at] = from.port[source];
         set(row, LONG_ADDRESS, has(entry, LONG_ADDRESS));
-        set(entry, LONG_ADDRESS, false);
+        set(row, LONG_SHARE, has(entry, LONG_SHARE));
+        set(entry, LONG_ADDRESS | LONG_SHARE, false);
         free(entry);
     }
 
@@ -256,6 +296,9 @@
         if (has(row, LONG_ADDRESS)) {
             arena.free(page(row).address[row & PAGE - 1]);
         }
+        if (has(row, LONG_SHARE)) {
+            arena.free(page(row).share[row & PAGE - 1]);
+        }
         page(row).flags[row & PAGE - 1] = 0;
         next(row, free);
         free = row;
@@ -420,6 +463,9 @@
                 if (has(row, LONG_ADDRESS)) {
                     page.address[at] = arena.add(scratch, old.read(page.address[at], scratch));
                 }
+                if (has(row, LONG_SHARE)) {
+                    page.share[at] = arena.add(scratch, old.read(page.share[at], scratch));
+                }
             }
         }
     }
--- a/src/test/java/wrenkeel/net/HostListComparisonTest.java
+++ b/src/test/java/wrenkeel/net/HostListComparisonTest.java
@@ -42,7 +42,7 @@
     Arbitrary<List<Step>> steps() {
         Arbitrary<String> health = Arbitraries.of("ready", "ready", "ready", "draining", "gone");
         Arbitrary<String> dial = Arbitraries.of("127.0.0.1:80", "127.0.0.1:81", "10.1:80", "[::1]:80", "[::2]:80");
-        Arbitrary<String> rest = Arbitraries.of("", ",\"share\":2.5", ",\"site\":\"far\",\"new\":[{}]",
+        Arbitrary<String> rest = Arbitraries.of("", ",\"share\":2.5", ",\"share\":0.1", ",\"share\":7.3", ",\"site\":\"far\",\"new\":[{}]",
             ",\"site\":null,\"share\":null");
         Arbitrary<String> entry = Combinators.combine(Arbitraries.of(NAMES), health, dial, rest, rare("m2", "m9"),
             Arbitraries.integers().between(0, DESTINATIONS - 1), rare("", "well"), rare("", "here:80")).as(
