Read addresses without the system's resolver, which the relay's thread would wait for

InetAddress.getByName asks a resolver for 10.0.0.300:80 (seen: 'Name or service not known' after 7 ms) and takes 10.1 for 10.0.0.1, once for each such entry of the list. Netty's parser reads digits only. The test fails without it on 10.1:80.

--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -1,5 +1,6 @@
 package wrenkeel.net;
 
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -168,9 +169,9 @@
     static InetSocketAddress address(String text) throws Unusable {
         int colon = text.lastIndexOf(':');
         try {
-            String host = text.substring(0, Math.max(0, colon));
-            if (host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
-                return new InetSocketAddress(InetAddress.getByName(host),
+            byte[] host = NetUtil.createByteArrayFromIpAddressString(text.substring(0, Math.max(0, colon)));
+            if (host != null) {
+                return new InetSocketAddress(InetAddress.getByAddress(host),
                     Integer.parseInt(text.substring(colon + 1)));
             }
         } catch (IOException | IllegalArgumentException e) {
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -463,6 +463,9 @@
             () -> Config.read(Map.of("EDGE_CONFIG", file.toString(), "EDGE_STATE", folder.toString())));
         assertEquals(1, fault.getMessage().lines().count());
         assertThrows(Config.Unusable.class, () -> Config.address("localhost:80"));
+        // A resolver would be asked for these, on the relay's thread.
+        assertThrows(Config.Unusable.class, () -> Config.address("10.1:80"));
+        assertThrows(Config.Unusable.class, () -> Config.address("10.0.0.300:80"));
         assertEquals(2, Node.serve(Map.of()));
     }
 
