--- /dev/null
+++ b/src/main/java/wrenkeel/scale/StandInDestinations.java
@@ -0,0 +1,316 @@
+package wrenkeel.scale;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.LongSupplier;
+
+/**
+ * Endpoints of outside destinations, on loopback: {@code POST /v1/messages} and {@code /v1/messages:batch} as the
+ * protocol's page has them. Each port is one endpoint with a limit and a standing of its own. Nothing on the wire names a
+ * destination, so the dials of thousands of hosts may share a few ports, and then share limit and standing too: what is to
+ * be told apart needs a port of its own.
+ */
+final class StandInDestinations implements AutoCloseable {
+    /** Bytes of a call's body at most. */
+    private static final int BODY_MOST = 64 * 1024;
+    private static final int BACKLOG = 1_024;
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** One port. */
+    private static final class Endpoint {
+        final EndpointModel model;
+        final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        Channel listener;
+        int port;
+
+        Endpoint(EndpointModel model) {
+            this.model = model;
+        }
+    }
+
+    private final MultiThreadIoEventLoopGroup group;
+    private final List<Endpoint> endpoints = new ArrayList<>();
+    private final int bundleMost;
+    private final LongSupplier clock;
+    private final ByteCounter bytes = new ByteCounter();
+    private final LongAdder calls = new LongAdder(), turnedAway = new LongAdder(), abandoned = new LongAdder(),
+        malformed = new LongAdder();
+    private volatile Deliveries deliveries = new Deliveries(Long.MAX_VALUE);
+
+    /**
+     * Opens the ports.
+     *
+     * @param ports how many endpoints
+     * @param behaviour of each until {@link #behave} says otherwise
+     * @param bundleMost messages that a call may hold
+     * @param threads that serve the connections
+     * @param seed for the times of answers
+     * @param clock nanoseconds, the one by which message ids are written
+     */
+    StandInDestinations(int ports, EndpointModel.Behaviour behaviour, int bundleMost, int threads, long seed,
+                        LongSupplier clock) throws InterruptedException {
+        this.bundleMost = bundleMost;
+        this.clock = clock;
+        group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        try {
+            for (int i = 0; i < ports; i++) {
+                Endpoint endpoint = new Endpoint(new EndpointModel(behaviour, seed * 1_000_003 + i));
+                endpoints.add(endpoint);
+                listen(endpoint);
+            }
+        } catch (InterruptedException | RuntimeException e) {
+            close();
+            throw e;
+        }
+    }
+
+    private void listen(Endpoint endpoint) throws InterruptedException {
+        endpoint.listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    endpoint.connections.add(channel);
+                    channel.pipeline().addLast(bytes, new HttpServerCodec(), new HttpObjectAggregator(BODY_MOST),
+                        new Calls(endpoint));
+                }
+            }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), endpoint.port)).sync().channel();
+        endpoint.port = ((InetSocketAddress) endpoint.listener.localAddress()).getPort();
+    }
+
+    /** The ports, in the order in which endpoints are numbered from 0. */
+    List<Integer> ports() {
+        return endpoints.stream().map(endpoint -> endpoint.port).toList();
+    }
+
+    /** From now on an endpoint answers like this. */
+    void behave(int number, EndpointModel.Behaviour behaviour) {
+        EndpointModel model = endpoints.get(number).model;
+        synchronized (model) {
+            model.behave(behaviour);
+        }
+    }
+
+    /** Begins or ends an outage of an endpoint. One that refuses has no listener, and its connections end. */
+    void stand(int number, EndpointModel.Standing standing) throws InterruptedException {
+        Endpoint endpoint = endpoints.get(number);
+        EndpointModel.Standing before;
+        synchronized (endpoint.model) {
+            before = endpoint.model.standing();
+            endpoint.model.stand(standing, clock.getAsLong());
+        }
+        if (standing == EndpointModel.Standing.REFUSING && before != standing) {
+            endpoint.listener.close().sync();
+            endpoint.connections.close().sync();
+        } else if (standing != before && before == EndpointModel.Standing.REFUSING) {
+            listen(endpoint);
+        }
+    }
+
+    /** For so long an endpoint turns all calls away and tells each to wait until the end of that. */
+    void shut(int number, long millis) {
+        EndpointModel model = endpoints.get(number).model;
+        synchronized (model) {
+            model.shutUntil(clock.getAsLong() + millis * 1_000_000);
+        }
+    }
+
+    /** From now on deliveries are told to this one. */
+    void report(Deliveries to) {
+        deliveries = to;
+    }
+
+    /** Calls whose last byte has come. */
+    long calls() {
+        return calls.sum();
+    }
+
+    /** Calls answered with 429 or 503. */
+    long turnedAway() {
+        return turnedAway.sum();
+    }
+
+    /** Calls whose relay had gone before their answer. */
+    long abandoned() {
+        return abandoned.sum();
+    }
+
+    /** Calls answered with 400, 404 or 413, which no relay should see. */
+    long malformed() {
+        return malformed.sum();
+    }
+
+    /** What went over all connections to these endpoints. */
+    ByteCounter bytes() {
+        return bytes;
+    }
+
+    /** Connections held now. */
+    int connections() {
+        return endpoints.stream().mapToInt(endpoint -> endpoint.connections.size()).sum();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
+    /** The calls on one connection. */
+    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Endpoint endpoint;
+
+        Calls(Endpoint endpoint) {
+            this.endpoint = endpoint;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean bundle = request.uri().equals("/v1/messages:batch");
+            boolean keep = HttpUtil.isKeepAlive(request);
+            if (request.decoderResult().isFailure() || !request.method().equals(HttpMethod.POST)
+                || !bundle && !request.uri().equals("/v1/messages")) {
+                reject(context, HttpResponseStatus.NOT_FOUND);
+                return;
+            }
+            List<String> ids = bundle ? ids(request) : List.of(request.headers().get("X-Request-ID", ""));
+            if (ids.isEmpty() || ids.contains("")) {
+                reject(context, HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
+            if (ids.size() > bundleMost) {
+                reject(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+            long now = clock.getAsLong();
+            calls.increment();
+            Deliveries tellTo = deliveries;
+            ids.forEach(id -> tellTo.called(MessageId.parse(id), now));
+            EndpointModel.Verdict verdict;
+            synchronized (endpoint.model) {
+                verdict = endpoint.model.call(now);
+            }
+            if (verdict.status() == 200) {
+                byte[] body = bundle ? states(ids) : new byte[0];
+                context.executor().schedule(() -> accept(context, ids, body, keep), verdict.delayNanos(),
+                    TimeUnit.NANOSECONDS);
+            } else if (verdict.status() != 0) {
+                turnedAway.increment();
+                respond(context, HttpResponseStatus.valueOf(verdict.status()), verdict.waitMillis(), new byte[0], keep);
+            }
+        }
+
+        private void accept(ChannelHandlerContext context, List<String> ids, byte[] body, boolean keep) {
+            boolean serves;
+            synchronized (endpoint.model) {
+                serves = endpoint.model.standing() == EndpointModel.Standing.SERVING;
+            }
+            if (!context.channel().isActive()) {
+                abandoned.increment();
+            } else if (serves) {
+                respond(context, HttpResponseStatus.OK, 0, body, keep);
+                long now = clock.getAsLong();
+                Deliveries tellTo = deliveries;
+                ids.forEach(id -> tellTo.delivered(MessageId.parse(id), now));
+            }
+        }
+
+        private void reject(ChannelHandlerContext context, HttpResponseStatus status) {
+            malformed.increment();
+            respond(context, status, 0, new byte[0], false);
+        }
+
+        private void respond(ChannelHandlerContext context, HttpResponseStatus status, long waitMillis, byte[] body,
+                             boolean keep) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.wrappedBuffer(body));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            if (waitMillis > 0) {
+                response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", waitMillis / 1e3));
+            }
+            if (!keep) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            context.writeAndFlush(response).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE
+                : ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A relay that gives a call up ends its connection.
+            context.close();
+        }
+    }
+
+    /** The ids of a bundle; none where the body cannot be read. */
+    private static List<String> ids(FullHttpRequest request) {
+        List<String> ids = new ArrayList<>();
+        try (InputStream body = new ByteBufInputStream(request.content()); JsonParser parser = JSON.createParser(body)) {
+            int depth = 0;
+            for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
+                depth += token.isStructStart() ? 1 : token.isStructEnd() ? -1 : 0;
+                if (depth == 2 && token == JsonToken.FIELD_NAME && parser.currentName().equals("id")) {
+                    ids.add(parser.nextTextValue());
+                }
+            }
+        } catch (IOException e) {
+            return List.of();
+        }
+        return ids.stream().distinct().count() == ids.size() && !ids.contains(null) ? ids : List.of();
+    }
+
+    private static byte[] states(List<String> ids) {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(text)) {
+            out.writeStartArray();
+            for (String id : ids) {
+                out.writeStartObject();
+                out.writeStringField("id", id);
+                out.writeStringField("state", "accepted");
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("an array of bytes cannot fail to be written", e);
+        }
+        return text.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/Traffic.java
@@ -0,0 +1,24 @@
+package wrenkeel.scale;
+
+import java.util.List;
+
+/**
+ * What stand-in clients hand in.
+ *
+ * @param destinations numbered from 0
+ * @param exponent of the Zipf distribution over them; 0 for even traffic
+ * @param bodyBytes of each message
+ * @param classes with their shares, which sum to 1
+ * @param tenants in the same way
+ * @param mostConnections held at once; a message that finds all busy is counted as not sent
+ */
+record Traffic(int destinations, double exponent, int bodyBytes, List<ClassShare> classes, List<TenantShare> tenants,
+               int mostConnections) {
+    /**
+     * @param lifeMillis sent as X-Timeout-Ms
+     * @param keyed whether each message has an idempotency key of its own
+     */
+    record ClassShare(String name, double share, long lifeMillis, boolean keyed) { }
+
+    record TenantShare(String name, double share) { }
+}
