--- a/src/main/java/wrenkeel/scale/ByteCounter.java
+++ b/src/main/java/wrenkeel/scale/ByteCounter.java
@@ -2,50 +2,39 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import java.util.concurrent.atomic.LongAdder;
 
-/** Counts the bytes that cross the connections it is the first handler of. Any number of connections. */
-@ChannelHandler.Sharable
+/** Counts the bytes of a connection: those read, and those that the system has taken. First in its pipeline. */
 final class ByteCounter extends ChannelDuplexHandler {
-    private final LongAdder read = new LongAdder(), written = new LongAdder(), connections = new LongAdder();
+    private final LongAdder in;
+    private final LongAdder out;
 
-    @Override
-    public void channelActive(ChannelHandlerContext context) {
-        connections.increment();
-        context.fireChannelActive();
+    ByteCounter(LongAdder in, LongAdder out) {
+        this.in = in;
+        this.out = out;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof ByteBuf bytes) {
-            read.add(bytes.readableBytes());
+            in.add(bytes.readableBytes());
         }
         context.fireChannelRead(message);
     }
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        ChannelPromise done = promise.unvoid();
         if (message instanceof ByteBuf bytes) {
-            written.add(bytes.readableBytes());
+            int length = bytes.readableBytes();
+            done.addListener(written -> {
+                if (written.isSuccess()) {
+                    out.add(length);
+                }
+            });
         }
-        context.write(message, promise);
-    }
-
-    /** Bytes received from the peers. */
-    long bytesRead() {
-        return read.sum();
-    }
-
-    /** Bytes handed to the peers' sockets. */
-    long bytesWritten() {
-        return written.sum();
-    }
-
-    /** Connections that have come up. */
-    long connections() {
-        return connections.sum();
+        context.write(message, done);
     }
 }
--- a/src/main/java/wrenkeel/scale/StandInClients.java
+++ b/src/main/java/wrenkeel/scale/StandInClients.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Clients of one relay. Messages come at random times of a given mean rate whatever became of those before (an open loop,
@@ -51,7 +52,7 @@
     private final ZipfSampler destinations;
     private final byte[] body;
     private final double[] classShares, tenantShares;
-    private final ByteCounter bytes = new ByteCounter();
+    private final LongAdder bytesIn = new LongAdder(), bytesOut = new LongAdder();
     private final Deque<Connection> idle = new ArrayDeque<>();
     private Tally tally = new Tally();
     private int connections, mostConnections;
@@ -80,8 +81,8 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(bytes, new HttpClientCodec(), new HttpObjectAggregator(ANSWER_MOST),
-                        new Connection());
+                    channel.pipeline().addLast(new ByteCounter(bytesIn, bytesOut), new HttpClientCodec(),
+                        new HttpObjectAggregator(ANSWER_MOST), new Connection());
                 }
             });
     }
@@ -109,9 +110,14 @@
         });
     }
 
-    /** What went over all connections to the relay. */
-    ByteCounter bytes() {
-        return bytes;
+    /** Bytes read from all connections, heads included. */
+    long bytesIn() {
+        return bytesIn.sum();
+    }
+
+    /** Bytes handed to the system for all connections, heads included. */
+    long bytesOut() {
+        return bytesOut.sum();
     }
 
     /** Most connections that were held at once. */
--- a/src/main/java/wrenkeel/scale/StandInDestinations.java
+++ b/src/main/java/wrenkeel/scale/StandInDestinations.java
@@ -70,7 +70,7 @@
     private final List<Endpoint> endpoints = new ArrayList<>();
     private final int bundleMost;
     private final LongSupplier clock;
-    private final ByteCounter bytes = new ByteCounter();
+    private final LongAdder bytesIn = new LongAdder(), bytesOut = new LongAdder(), connected = new LongAdder();
     private final LongAdder calls = new LongAdder(), turnedAway = new LongAdder(), abandoned = new LongAdder(),
         malformed = new LongAdder();
     private volatile Deliveries deliveries = new Deliveries(Long.MAX_VALUE);
@@ -110,8 +110,9 @@
                 @Override
                 protected void initChannel(Channel channel) {
                     endpoint.connections.add(channel);
-                    channel.pipeline().addLast(bytes, new HttpServerCodec(), new HttpObjectAggregator(BODY_MOST),
-                        new Calls(endpoint));
+                    connected.increment();
+                    channel.pipeline().addLast(new ByteCounter(bytesIn, bytesOut), new HttpServerCodec(),
+                        new HttpObjectAggregator(BODY_MOST), new Calls(endpoint));
                 }
             }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), endpoint.port)).sync().channel();
         endpoint.port = ((InetSocketAddress) endpoint.listener.localAddress()).getPort();
@@ -179,9 +180,19 @@
         return malformed.sum();
     }
 
-    /** What went over all connections to these endpoints. */
-    ByteCounter bytes() {
-        return bytes;
+    /** Bytes read from all connections, heads included. */
+    long bytesIn() {
+        return bytesIn.sum();
+    }
+
+    /** Bytes handed to the system for all connections, heads included. */
+    long bytesOut() {
+        return bytesOut.sum();
+    }
+
+    /** Connections that have come up. */
+    long connected() {
+        return connected.sum();
     }
 
     /** Connections held now. */
