--- /dev/null
+++ b/src/main/java/wrenkeel/scale/LoadedRelay.java
@@ -0,0 +1,98 @@
+package wrenkeel.scale;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+
+/** One real relay with an agent of its own, whose list leads to shared ports. */
+final class LoadedRelay implements AutoCloseable {
+    private static final Duration HELD_WITHIN = Duration.ofSeconds(15), LOOK = Duration.ofMillis(50);
+    private static final double HOSTS_PER_DESTINATION = 1.7;
+
+    /** What its plays are of, besides the rate: destinations, play and seed. */
+    final long size;
+    final int play;
+    final long seed;
+    private final HostCatalog catalog;
+    private final LongAdder givenUp = new LongAdder(), handedBack = new LongAdder();
+    private final StandInAgent agent;
+    private final RelayProcess process;
+    private double seconds;
+
+    /**
+     * @param destinations how many the list is to have, at 1.7 hosts each
+     * @param ports the dials, which the hosts share by turns
+     */
+    LoadedRelay(Path root, RelaySettings settings, long destinations, int play, long seed, List<Integer> ports)
+        throws IOException, InterruptedException {
+        this.size = destinations;
+        this.play = play;
+        this.seed = seed;
+        catalog = new HostCatalog((int) Math.round(destinations * HOSTS_PER_DESTINATION), seed,
+            host -> "127.0.0.1:" + ports.get(host % ports.size()));
+        agent = new StandInAgent(catalog, this::noticed);
+        process = new RelayProcess(root, settings, agent.address(), null);
+    }
+
+    private void noticed(String line) {
+        if (line.contains("\"given_up\"")) {
+            givenUp.increment();
+        } else if (line.contains("\"handed_back\"")) {
+            handedBack.increment();
+        }
+    }
+
+    /** Starts it; false where it does not hold its list and serve clients in time. */
+    boolean start() throws IOException, InterruptedException {
+        long begun = System.nanoTime();
+        process.start();
+        boolean held = process.awaitMembers(catalog.listed(), HELD_WITHIN, LOOK) && process.awaitServing(HELD_WITHIN);
+        seconds = (System.nanoTime() - begun) / 1e9;
+        return held;
+    }
+
+    /** What a relay did that does not hold its list. */
+    Map<String, Double> unheld() throws IOException {
+        Map<String, Double> values = new LinkedHashMap<>();
+        values.put("held", 0.0);
+        values.put("unheld_cpu_percent", process.cpuMicros() / 1e4 / seconds);
+        values.put("unheld_peak_rss_mb", process.peakRssBytes() / 1e6);
+        values.put("unheld_whole_lists_per_s", agent.wholeLists() / seconds);
+        return values;
+    }
+
+    int destinations() {
+        return catalog.destinations();
+    }
+
+    RelayProcess process() {
+        return process;
+    }
+
+    StandInAgent agent() {
+        return agent;
+    }
+
+    /** Notices of messages given up so far. */
+    long givenUp() {
+        return givenUp.sum();
+    }
+
+    /** Notices of messages handed back so far. */
+    long handedBack() {
+        return handedBack.sum();
+    }
+
+    @Override
+    public void close() throws IOException {
+        try {
+            process.close();
+        } finally {
+            agent.close();
+        }
+    }
+}
--- a/src/main/java/wrenkeel/scale/ProcessStats.java
+++ b/src/main/java/wrenkeel/scale/ProcessStats.java
@@ -23,6 +23,11 @@
      * thread did between the last call and its end is missed.
      */
     long cpuMicros() throws IOException {
+        return threadNanos().values().stream().mapToLong(nanos -> nanos).sum() / 1_000;
+    }
+
+    /** The same by thread, ns, named by the system's number for it; those that have ended included. */
+    Map<String, Long> threadNanos() throws IOException {
         List<Path> tasks;
         try (Stream<Path> all = Files.list(proc.resolve("task"))) {
             tasks = all.toList();
@@ -36,7 +41,7 @@
                 continue;
             }
         }
-        return threads.values().stream().mapToLong(nanos -> nanos).sum() / 1_000;
+        return Map.copyOf(threads);
     }
 
     /** Resident memory, bytes. */
--- a/src/main/java/wrenkeel/scale/RelayConfig.java
+++ b/src/main/java/wrenkeel/scale/RelayConfig.java
@@ -61,12 +61,12 @@
         out.writeNumberField("connect-timeout", 1_000);
         out.writeNumberField("keepalive", 15_000);
         out.writeNumberField("most-tries", 8);
-        out.writeNumberField("open-cap", 1_000);
+        out.writeNumberField("open-cap", settings.open());
         out.writeBooleanField("retry-after", true);
         out.writeNumberField("max-retry-after", 2_000);
         out.writeEndObject();
         out.writeObjectFieldStart("family-info");
-        out.writeNumberField("call-slots", 64);
+        out.writeNumberField("call-slots", settings.slots());
         out.writeArrayFieldStart("kind-apart");
         for (int i = 0; i < settings.kinds().size(); i++) {
             out.writeBoolean(false);
@@ -80,6 +80,14 @@
         out.writeNumberField("cold-from", 0.2);
         out.writeNumberField("cold", 10_000);
         out.writeEndObject();
+        out.writeArrayFieldStart("tenants");
+        for (RelaySettings.Tenant tenant : settings.tenants()) {
+            out.writeStartObject();
+            out.writeStringField("name", tenant.name());
+            out.writeNumberField("quota-per-s", tenant.quotaPerSecond());
+            out.writeEndObject();
+        }
+        out.writeEndArray();
         out.writeArrayFieldStart("profiles");
         for (RelaySettings.Profile profile : settings.profiles()) {
             out.writeStartObject();
--- a/src/main/java/wrenkeel/scale/RelayProcess.java
+++ b/src/main/java/wrenkeel/scale/RelayProcess.java
@@ -189,6 +189,16 @@
         return stats.cpuMicros();
     }
 
+    /** Processor time of each thread, ns, named by the system's number for it. */
+    Map<String, Long> threadNanos() throws IOException {
+        return stats.threadNanos();
+    }
+
+    /** Bytes handed to the system by all writes since the start, to sockets too. */
+    long writtenBytes() throws IOException {
+        return stats.writtenBytes();
+    }
+
     /** Resident memory, bytes. */
     long rssBytes() throws IOException {
         return stats.rssBytes();
--- a/src/main/java/wrenkeel/scale/ScaleCommand.java
+++ b/src/main/java/wrenkeel/scale/ScaleCommand.java
@@ -8,6 +8,7 @@
     description = "Measures how cost grows with size, on loopback only, bounded in time, connections and memory.",
     subcommands = {
         ListExperiment.class,
+        TrafficExperiment.class,
     })
 public final class ScaleCommand {
     private ScaleCommand() { }
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/TrafficExperiment.java
@@ -0,0 +1,266 @@
+package wrenkeel.scale;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import wrenkeel.scale.RelaySettings.Profile;
+import wrenkeel.scale.RelaySettings.Tenant;
+
+/**
+ * One real relay between stand-in clients and destinations: what an event costs by how many come a second, and what
+ * destinations cost at a fixed rate. All relays of a run start together and stand idle for a while, for a relay of a large
+ * fleet holds back its first calls to each destination; then they are played one after another.
+ *
+ * <p>Assumptions, taken from no measurement: the classes with their lives and shares, the tenants, the bodies' size, the
+ * destinations' latency, the skew. All that can be set is an option.
+ */
+@Command(name = "traffic", mixinStandardHelpOptions = true,
+    description = "One relay under traffic: processor time, journal bytes and memory by events a second or destinations.")
+final class TrafficExperiment implements Callable<Integer> {
+    /** What the sizes are. */
+    enum Vary { RATE, DESTINATIONS }
+
+    private static final List<Profile> PROFILES = List.of(new Profile("notice", 1_500, 6_000, "dedup", 5_000),
+        new Profile("query", 2_000, 9_000, "retryable", 0), new Profile("order", 2_500, 12_000, "fragile", 0));
+    private static final List<Traffic.ClassShare> CLASSES = List.of(new Traffic.ClassShare("notice", 0.35, 6_000, true),
+        new Traffic.ClassShare("query", 0.25, 9_000, false), new Traffic.ClassShare("order", 0.4, 12_000, true));
+    private static final List<Traffic.TenantShare> TENANTS = List.of(new Traffic.TenantShare("casa-azul", 0.5),
+        new Traffic.TenantShare("verde-lda", 0.3), new Traffic.TenantShare("outros", 0.2));
+    /** Events a second of the whole fleet at the target; each tenant's quota is half as much again as its share. */
+    private static final double FLEET_RATE = 350_000, QUOTA_ROOM = 1.5;
+    /** Threads that serve the destinations; ms after a play in which its messages may still be delivered. */
+    private static final int THREADS = 2, DRAIN = 2_000;
+    private static final int CONNECTIONS_MOST = 600;
+
+    @Mixin
+    private CommonOptions options;
+
+    @Option(names = "--vary", defaultValue = "RATE", paramLabel = "WHAT",
+        description = "What the sizes are: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE}).")
+    private Vary vary;
+
+    @Option(names = "--rate", defaultValue = "152", paramLabel = "N",
+        description = "Events a second where destinations vary (default: ${DEFAULT-VALUE}).")
+    private double rate;
+
+    @Option(names = "--destinations", defaultValue = "1000", paramLabel = "N",
+        description = "Destinations where the rate varies, 1.7 hosts each (default: ${DEFAULT-VALUE}).")
+    private int destinations;
+
+    @Option(names = "--exponent", defaultValue = "0.85", paramLabel = "X",
+        description = "Of the Zipf distribution of traffic over destinations (default: ${DEFAULT-VALUE}).")
+    private double exponent;
+
+    @Option(names = "--body-bytes", defaultValue = "300", paramLabel = "N",
+        description = "Of each message (default: ${DEFAULT-VALUE}).")
+    private int bodyBytes;
+
+    @Option(names = "--answer-ms", defaultValue = "250", paramLabel = "N",
+        description = "Median time from a call to its answer (default: ${DEFAULT-VALUE}).")
+    private long answerMillis;
+
+    @Option(names = "--answer-sigma", defaultValue = "0.4", paramLabel = "X",
+        description = "Standard deviation of that time's logarithm (default: ${DEFAULT-VALUE}).")
+    private double answerSigma;
+
+    @Option(names = "--ports", defaultValue = "64", paramLabel = "N",
+        description = "Listening ports that all hosts share (default: ${DEFAULT-VALUE}).")
+    private int ports;
+
+    @Option(names = "--down-ports", defaultValue = "0", paramLabel = "N",
+        description = "Ports of these that nobody listens on, each with its part of the hosts (default: ${DEFAULT-VALUE}).")
+    private int downPorts;
+
+    @Option(names = "--limit", defaultValue = "0", paramLabel = "N",
+        description = "Calls a second that each port takes before it answers 429; 0 for no limit (default: ${DEFAULT-VALUE}).")
+    private double limit;
+
+    @Option(names = "--slots", defaultValue = "96", paramLabel = "N",
+        description = "Calls that the relay may have out at once (default: ${DEFAULT-VALUE}).")
+    private int slots;
+
+    @Option(names = "--open", defaultValue = "1000", paramLabel = "N",
+        description = "Messages that the relay may hold (default: ${DEFAULT-VALUE}).")
+    private int open;
+
+    @Option(names = "--disk-mb", defaultValue = "3", paramLabel = "N",
+        description = "Limit on the relay's folder (default: ${DEFAULT-VALUE}).")
+    private double diskMb;
+
+    @Option(names = "--relays", defaultValue = "2300", paramLabel = "N",
+        description = "Size of the fleet that the relay is told of (default: ${DEFAULT-VALUE}).")
+    private int relays;
+
+    @Option(names = "--settle-seconds", defaultValue = "60", paramLabel = "N",
+        description = "Idle time of all relays before the first play (default: ${DEFAULT-VALUE}).")
+    private long settle;
+
+    @Option(names = "--warm-up-seconds", defaultValue = "8", paramLabel = "N",
+        description = "Traffic before each play; twice that for a relay's first (default: ${DEFAULT-VALUE}).")
+    private long warmUp;
+
+    @Option(names = "--play-seconds", defaultValue = "10", paramLabel = "N",
+        description = "Length of a play (default: ${DEFAULT-VALUE}).")
+    private long length;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        List<Long> sizes = vary == Vary.RATE ? options.sizes(50L, 152L, 300L, 456L, 1_000L)
+            : options.sizes(20L, 1_000L, 10_000L, 20_000L, 100_000L);
+        EndpointModel.Behaviour behaviour = EndpointModel.Behaviour.unlimited(answerMillis * 1_000, answerSigma)
+            .limited(limit, 1_000, true, false);
+        List<LoadedRelay> loaded = new ArrayList<>();
+        try (TimeLimit timeLimit = new TimeLimit(options.mostSeconds());
+             Report report = new Report("traffic", options);
+             StandInDestinations standIns = new StandInDestinations(ports, behaviour, 1, THREADS, options.seed(0),
+                 System::nanoTime)) {
+            List<Integer> dials = standIns.ports();
+            for (int i = 0; i < Math.min(ports, downPorts); i++) {
+                standIns.stand(i, EndpointModel.Standing.REFUSING);
+            }
+            try {
+                start(sizes, dials, report, loaded);
+                TimeUnit.SECONDS.sleep(settle);
+                for (LoadedRelay relay : List.copyOf(loaded)) {
+                    playAll(relay, vary == Vary.RATE ? sizes : List.of(relay.size), standIns, report);
+                    relay.close();
+                    loaded.remove(relay);
+                }
+                report.finish(options.target(vary == Vary.RATE ? 456 : 190_000));
+            } finally {
+                for (LoadedRelay relay : loaded) {
+                    relay.close();
+                }
+            }
+        }
+        return 0;
+    }
+
+    /** One relay a play, which meets all rates, or one for each number of destinations in each play. */
+    private void start(List<Long> sizes, List<Integer> ports, Report report, List<LoadedRelay> loaded)
+        throws IOException, InterruptedException {
+        List<Long> lists = new ArrayList<>(vary == Vary.RATE ? List.of((long) destinations) : sizes);
+        for (int play = 0; play < options.plays(); play++) {
+            for (long count : List.copyOf(lists)) {
+                LoadedRelay relay = new LoadedRelay(options.root(), settings(), count, play, options.seed(play), ports);
+                loaded.add(relay);
+                if (!relay.start()) {
+                    // It would ask for the list without end beside the plays of the others; one such play is enough.
+                    lists.remove(count);
+                    loaded.remove(relay);
+                    report.add(new Measurement("traffic", vary == Vary.RATE ? sizes.get(0) : count, play,
+                        options.seed(play), relay.unheld()));
+                    relay.close();
+                }
+            }
+        }
+    }
+
+    private RelaySettings settings() {
+        List<Tenant> tenants = TENANTS.stream()
+            .map(tenant -> new Tenant(tenant.name(), tenant.share() * FLEET_RATE * QUOTA_ROOM)).toList();
+        return RelaySettings.typical("n1").withRelays(relays).withProfiles(PROFILES).withDisk(diskMb)
+            .withCalls(slots, open).withTenants(tenants);
+    }
+
+    private void playAll(LoadedRelay relay, List<Long> sizes, StandInDestinations standIns, Report report)
+        throws IOException, InterruptedException {
+        Traffic traffic = new Traffic(relay.destinations(), exponent, bodyBytes, CLASSES, TENANTS, CONNECTIONS_MOST);
+        try (StandInClients clients = new StandInClients(relay.process().clients(), traffic, relay.seed)) {
+            boolean first = true;
+            for (long size : sizes) {
+                clients.rate(vary == Vary.RATE ? size : rate);
+                TimeUnit.SECONDS.sleep(first ? 2 * warmUp : warmUp);
+                first = false;
+                report.add(new Measurement("traffic", size, relay.play, relay.seed,
+                    play(relay, clients, standIns)));
+            }
+        }
+    }
+
+    /** The traffic goes on from before; what is measured is that of the play's time, and the ends of its messages. */
+    private Map<String, Double> play(LoadedRelay relay, StandInClients clients, StandInDestinations standIns)
+        throws IOException, InterruptedException {
+        Tally tally = new Tally();
+        Deliveries deliveries = new Deliveries(clients.count(tally));
+        standIns.report(deliveries);
+        Reading before = Reading.take(relay, clients, standIns);
+        TimeUnit.SECONDS.sleep(length);
+        Reading after = Reading.take(relay, clients, standIns);
+        deliveries.until(clients.count(new Tally()));
+        clients.rate(0);
+        TimeUnit.MILLISECONDS.sleep(DRAIN);
+        Map<String, Double> values = new LinkedHashMap<>();
+        values.put("held", 1.0);
+        costs(before, after, tally.due(), values);
+        ends(tally, deliveries, values);
+        values.put("given_up_percent", percent(after.givenUp() - before.givenUp(), tally.taken()));
+        values.put("handed_back_percent", percent(after.handedBack() - before.handedBack(), tally.taken()));
+        values.put("pending_messages", (double) relay.process().telemetry().whole("pending"));
+        values.put("rss_mb", relay.process().rssBytes() / 1e6);
+        values.put("peak_rss_mb", relay.process().peakRssBytes() / 1e6);
+        return values;
+    }
+
+    private static void costs(Reading before, Reading after, long events, Map<String, Double> values) {
+        double seconds = (after.nanos() - before.nanos()) / 1e9;
+        double cpuMicros = after.cpuMicros() - before.cpuMicros();
+        values.put("events_per_s", events / seconds);
+        values.put("cpu_percent", cpuMicros / seconds / 1e4);
+        values.put("cpu_ms_per_event", cpuMicros / 1e3 / events);
+        values.put("busiest_thread_percent", busiest(before.threads(), after.threads()) / seconds / 1e7);
+        values.put("journal_bytes_per_event", (double) (after.journalBytes() - before.journalBytes()) / events);
+        values.put("calls_per_event", (double) (after.calls() - before.calls()) / events);
+        values.put("connections_per_event", (double) (after.connected() - before.connected()) / events);
+        values.put("turned_away_per_event", (double) (after.turnedAway() - before.turnedAway()) / events);
+    }
+
+    private static void ends(Tally tally, Deliveries deliveries, Map<String, Double> values) {
+        values.put("taken_percent", percent(tally.taken(), tally.due()));
+        values.put("refused_percent", percent(tally.refused(), tally.due()));
+        values.put("unanswered_percent", percent(tally.unanswered(), tally.due()));
+        values.put("otherwise_percent", percent(tally.failed() + tally.broken() + tally.unsent(), tally.due()));
+        values.put("delivered_percent", percent(deliveries.count(), tally.taken()));
+        values.put("duplicates_percent", percent(deliveries.duplicates(), tally.taken()));
+        values.put("answer_p50_ms", tally.answerMillis(50));
+        values.put("answer_p99_ms", tally.answerMillis(99));
+        values.put("call_p50_ms", deliveries.callMillis(50));
+        values.put("call_p99_ms", deliveries.callMillis(99));
+        values.put("delivery_p50_ms", deliveries.deliveryMillis(50));
+        values.put("delivery_p99_ms", deliveries.deliveryMillis(99));
+    }
+
+    private static double percent(long part, long all) {
+        return all == 0 ? 0 : 100.0 * part / all;
+    }
+
+    /** Processor time of the thread that had most of it, ns. */
+    static long busiest(Map<String, Long> before, Map<String, Long> after) {
+        Map<String, Long> spent = new HashMap<>(after);
+        spent.replaceAll((thread, nanos) -> nanos - before.getOrDefault(thread, 0L));
+        return spent.values().stream().mapToLong(nanos -> nanos).max().orElse(0);
+    }
+
+    /**
+     * All counters at one moment. {@code journalBytes}: what the relay wrote less what arrived at its peers, which is its
+     * journal and a few lines of log.
+     */
+    private record Reading(long nanos, long cpuMicros, Map<String, Long> threads, long journalBytes, long calls,
+                           long connected, long turnedAway, long givenUp, long handedBack) {
+        static Reading take(LoadedRelay relay, StandInClients clients, StandInDestinations standIns) throws IOException {
+            RelayProcess process = relay.process();
+            long toPeers = clients.bytesIn() + standIns.bytesIn() + relay.agent().bytesIn();
+            return new Reading(System.nanoTime(), process.cpuMicros(), process.threadNanos(),
+                process.writtenBytes() - toPeers, standIns.calls(), standIns.connected(), standIns.turnedAway(),
+                relay.givenUp(), relay.handedBack());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/scale/TrafficExperimentTest.java
@@ -0,0 +1,54 @@
+package wrenkeel.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wrenkeel.Relay;
+import wrenkeel.Wire;
+
+final class TrafficExperimentTest {
+    @Test
+    void theBusiestThreadIsTheOneThatSpentMost() {
+        assertEquals(70, TrafficExperiment.busiest(Map.of("1", 1_000L, "2", 10L, "3", 90L),
+            Map.of("1", 1_020L, "2", 50L, "4", 70L)));
+    }
+
+    @Test
+    void theRelayReadsTheCallsAndTenantsThatAreAskedFor(@TempDir Path folder) throws IOException {
+        RelaySettings settings = RelaySettings.typical("n1").withCalls(96, 700)
+            .withTenants(List.of(new RelaySettings.Tenant("a", 40)));
+        Path file = folder.resolve("config.json");
+        RelayConfig.write(file, settings, new InetSocketAddress("127.0.0.1", 8500), null);
+        Relay.Settings read = Wire.settings(Wire.decode(Files.readString(file)).object("settings"));
+        assertEquals(96, read.allowed().slots());
+        assertEquals(700, read.allowed().open());
+        assertEquals(List.of(new Relay.Tenant("a", 40)), read.tenants());
+        assertEquals(2_300, read.relays());
+    }
+
+    @Test
+    void aTallyIsSettledOnceEachMessageHasMetOneEnd() {
+        Tally tally = new Tally();
+        int[] statuses = {200, 202, 429, 503, 504};
+        for (int i = 0; i < statuses.length + 3; i++) {
+            tally.handedIn();
+        }
+        for (int status : statuses) {
+            tally.answered(status, 1_000);
+        }
+        tally.noAnswer();
+        tally.brokenOff();
+        assertEquals(false, tally.settled());
+        tally.notSent();
+        assertEquals(true, tally.settled());
+        assertEquals(List.of(2L, 2L, 1L), List.of(tally.taken(), tally.refused(), tally.failed()));
+        assertEquals(1, tally.answerMillis(50), 0.01);
+    }
+}
