--- a/src/main/java/wrenkeel/scale/TrafficExperiment.java
+++ b/src/main/java/wrenkeel/scale/TrafficExperiment.java
@@ -116,7 +116,7 @@
         List<Long> sizes = vary == Vary.RATE ? options.sizes(50L, 152L, 300L, 456L, 1_000L)
             : options.sizes(20L, 1_000L, 10_000L, 20_000L, 100_000L);
         EndpointModel.Behaviour behaviour = EndpointModel.Behaviour.unlimited(answerMillis * 1_000, answerSigma)
-            .limited(limit, 1_000, true, false);
+            .with(new EndpointModel.Limit(limit, 1_000, true, false));
         List<LoadedRelay> loaded = new ArrayList<>();
         try (TimeLimit timeLimit = new TimeLimit(options.mostSeconds());
              Report report = new Report("traffic", options);
--- a/src/test/java/wrenkeel/scale/EndpointModelTest.java
+++ b/src/test/java/wrenkeel/scale/EndpointModelTest.java
@@ -11,6 +11,8 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import wrenkeel.scale.EndpointModel.Behaviour;
+import wrenkeel.scale.EndpointModel.Cold;
+import wrenkeel.scale.EndpointModel.Limit;
 import wrenkeel.scale.EndpointModel.Standing;
 
 final class EndpointModelTest {
@@ -28,7 +30,7 @@
 
     @Test
     void tellsToWaitUntilTheNextSpanOnceTheLimitIsMet() {
-        EndpointModel model = model(PLAIN.limited(2, 1_000, true, false));
+        EndpointModel model = model(PLAIN.with(new Limit(2, 1_000, true, false)));
         model.call(100 * MS);
         model.call(200 * MS);
         assertEquals(new EndpointModel.Verdict(429, 0, 700), model.call(300 * MS));
@@ -37,14 +39,14 @@
 
     @Test
     void refusesWithoutAWaitWhereItTellsNone() {
-        EndpointModel model = model(PLAIN.limited(1, 1_000, false, false));
+        EndpointModel model = model(PLAIN.with(new Limit(1, 1_000, false, false)));
         model.call(0);
         assertEquals(new EndpointModel.Verdict(503, 0, 0), model.call(1));
     }
 
     @Test
     void countsRefusedCallsAgainstTheNextSpanWhereToldTo() {
-        EndpointModel model = model(PLAIN.limited(1, 1_000, false, true));
+        EndpointModel model = model(PLAIN.with(new Limit(1, 1_000, false, true)));
         for (int i = 0; i < 3; i++) {
             model.call(i);
         }
@@ -53,7 +55,7 @@
 
     @Test
     void isSilentThroughAnOutageAndColdAfterIt() {
-        EndpointModel model = model(PLAIN.limited(10, 1_000, false, false).cold(0.2, 10_000));
+        EndpointModel model = model(PLAIN.with(new Limit(10, 1_000, false, false)).with(new Cold(0.2, 10_000, 0, 1_000, 0)));
         model.stand(Standing.SILENT, 0);
         assertEquals(0, model.call(1).status());
         model.stand(Standing.SERVING, 5_000 * MS);
@@ -71,6 +73,23 @@
         return taken;
     }
 
+    @Test
+    void fallsUnderTooManyCallsWhileItIsColdAndIsBackAfterThat() {
+        EndpointModel model = model(PLAIN.with(new Limit(10, 1_000, false, false))
+            .with(new Cold(0.2, 10_000, 2, 2_000, 3_000)));
+        assertEquals(10, taken(model, 0, 100), "warm it only refuses");
+        model.stand(Standing.SILENT, 0);
+        model.stand(Standing.SERVING, 5_000 * MS);
+        // It bears 2 a second at first: 8 calls in 2 s are twice that, 2 of them taken, and one more is too many.
+        assertEquals(2, taken(model, 5_000, 8));
+        assertEquals(0, model.falls());
+        assertEquals(0, model.call(5_000 * MS).status());
+        assertEquals(1, model.falls());
+        assertEquals(0, model.call(7_999 * MS).status());
+        assertEquals(200, model.call(8_000 * MS).status());
+        assertEquals(1, model.falls());
+    }
+
     @Test
     void turnsEverybodyAwayWhileShut() {
         EndpointModel model = model(PLAIN);
@@ -82,7 +101,7 @@
     @Property
     void takesNoMoreThanItsLimitInASpan(@ForAll @Size(max = 200) int[] gaps, @ForAll @IntRange(min = 1, max = 9) int limit,
                                         @ForAll boolean refusedCount) {
-        EndpointModel model = model(PLAIN.limited(limit, 100, true, refusedCount));
+        EndpointModel model = model(PLAIN.with(new Limit(limit, 100, true, refusedCount)));
         Map<Long, Integer> taken = new HashMap<>();
         long now = 0;
         for (int gap : gaps) {
--- a/src/test/java/wrenkeel/scale/StandInsTest.java
+++ b/src/test/java/wrenkeel/scale/StandInsTest.java
@@ -47,7 +47,8 @@
 
     @Test
     void eachPortHasALimitOfItsOwn() throws Exception {
-        try (StandInDestinations destinations = destinations(Behaviour.unlimited(0, 0).limited(1, 1_000, true, false))) {
+        try (StandInDestinations destinations = destinations(Behaviour.unlimited(0, 0)
+                .with(new EndpointModel.Limit(1, 1_000, true, false)))) {
             int first = destinations.ports().get(0);
             assertEquals(200, call(first, "/v1/messages", "0-0", "x").statusCode());
             HttpResponse<String> second = call(first, "/v1/messages", "1-0", "x");
