--- a/src/main/java/wrenkeel/scale/ScaleCommand.java
+++ b/src/main/java/wrenkeel/scale/ScaleCommand.java
@@ -9,6 +9,7 @@
     subcommands = {
         ListExperiment.class,
         TrafficExperiment.class,
+        LearnExperiment.class,
     })
 public final class ScaleCommand {
     private ScaleCommand() { }
--- a/src/main/java/wrenkeel/scale/TrafficExperiment.java
+++ b/src/main/java/wrenkeel/scale/TrafficExperiment.java
@@ -28,7 +28,7 @@
     /** What the sizes are. */
     enum Vary { RATE, DESTINATIONS }
 
-    private static final List<Profile> PROFILES = List.of(new Profile("notice", 1_500, 6_000, "dedup", 5_000),
+    static final List<Profile> PROFILES = List.of(new Profile("notice", 1_500, 6_000, "dedup", 5_000),
         new Profile("query", 2_000, 9_000, "retryable", 0), new Profile("order", 2_500, 12_000, "fragile", 0));
     private static final List<Traffic.ClassShare> CLASSES = List.of(new Traffic.ClassShare("notice", 0.35, 6_000, true),
         new Traffic.ClassShare("query", 0.25, 9_000, false), new Traffic.ClassShare("order", 0.4, 12_000, true));
