--- a/src/main/java/wrenkeel/scale/RelaySettings.java
+++ b/src/main/java/wrenkeel/scale/RelaySettings.java
@@ -3,16 +3,19 @@
 import java.util.List;
 
 /**
- * What one relay's configuration holds besides the list: {@code relays} is the size of the fleet that it is told of,
- * {@code seed} hexadecimal, {@code cores}, {@code memoryMb}, {@code sockets} and {@code diskMb} its limits.
- * {@code zones} and {@code kinds} are those that a {@link HostCatalog} names; {@code slots} is how many calls may be out
- * at once, {@code open} how many messages may be held.
+ * What one relay's configuration holds besides the list: {@code relays} is the size of the fleet that it is
+ * told of, {@code seed} hexadecimal, {@code cores}, {@code memoryMb}, {@code sockets} and {@code diskMb} its
+ * limits. {@code zones} and {@code kinds} are those that a {@link HostCatalog} names; {@code slots} is how
+ * many calls may be out at once, {@code open} how many messages may be held.
  */
-record RelaySettings(String name, String seed, int relays, double cores, int memoryMb, int sockets, double diskMb,
-                     List<String> zones, List<String> kinds, List<Profile> profiles, int slots, int open,
-                     List<Tenant> tenants) {
-
-    /** A class of messages: times in milliseconds; semantics {@code retryable}, {@code dedup} or {@code fragile}. */
+record RelaySettings(String name, String seed, int relays, double cores, int memoryMb, int sockets,
+                     double diskMb, List<String> zones, List<String> kinds, List<Profile> profiles,
+                     int slots, int open, List<Tenant> tenants) {
+
+    /**
+     * A class of messages: times in milliseconds; semantics {@code retryable}, {@code dedup} or {@code
+     * fragile}.
+     */
     record Profile(String name, long aim, long hardLimit, String semantics, long window) { }
 
     /** A client whose messages count in full up to a rate over all relays. */
@@ -22,8 +25,8 @@
     static RelaySettings typical(String name) {
         return new RelaySettings(name, "8c1f30d27a5be964", 2_300, 1, 192, 1_024, 3, HostCatalog.ZONES,
             HostCatalog.KINDS, List.of(new Profile("notice", 2_000, 16_000, "dedup", 15_000),
-                new Profile("query", 1_000, 4_000, "retryable", 0), new Profile("order", 2_000, 16_000, "fragile", 0)),
-            64, 1_000, List.of());
+                new Profile("query", 1_000, 4_000, "retryable", 0),
+                new Profile("order", 2_000, 16_000, "fragile", 0)), 64, 1_000, List.of());
     }
 
     RelaySettings withRelays(int count) {
@@ -37,8 +40,8 @@
     }
 
     RelaySettings withDisk(double megabytes) {
-        return new RelaySettings(name, seed, relays, cores, memoryMb, sockets, megabytes, zones, kinds, profiles,
-            slots, open, tenants);
+        return new RelaySettings(name, seed, relays, cores, memoryMb, sockets, megabytes, zones, kinds,
+            profiles, slots, open, tenants);
     }
 
     RelaySettings withCalls(int slotCount, int openMost) {
