--- a/src/main/java/wrenkeel/scale/StandInAgent.java
+++ b/src/main/java/wrenkeel/scale/StandInAgent.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.stream.ChunkedStream;
@@ -108,7 +109,8 @@
                     }
                     channel.closeFuture().addListener(closed -> connections.decrementAndGet());
                     channel.pipeline().addLast(new ByteCounter(bytesIn, bytesOut), new HttpServerCodec(),
-                        new HttpObjectAggregator(CALL_MOST), new ChunkedWriteHandler(), new Calls());
+                        new HttpServerKeepAliveHandler(), new HttpObjectAggregator(CALL_MOST),
+                        new ChunkedWriteHandler(), new Calls());
                 }
             }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
     }
@@ -216,8 +218,10 @@
         send(context, catalog.since(after), whole);
         long now = System.nanoTime();
         synchronized (times) {
-            times.replaceAll((version, t) -> version > after && t.sentNanos == 0
-                ? new Times(t.madeNanos, now, t.heldNanos) : t);
+            for (long version = catalog.version(); version > after && times.containsKey(version); version--) {
+                times.computeIfPresent(version, (v, t) -> t.sentNanos == 0
+                    ? new Times(t.madeNanos, now, t.heldNanos) : t);
+            }
         }
     }
 
@@ -225,8 +229,9 @@
         long now = System.nanoTime();
         synchronized (times) {
             if (version > held) {
-                times.replaceAll((v, t) -> v <= version && t.heldNanos == 0
-                    ? new Times(t.madeNanos, t.sentNanos, now) : t);
+                for (long v = version; v > held && times.containsKey(v); v--) {
+                    times.computeIfPresent(v, (same, t) -> new Times(t.madeNanos, t.sentNanos, now));
+                }
                 held = version;
                 times.notifyAll();
             }
