--- a/src/main/java/wrenkeel/scale/LearnExperiment.java
+++ b/src/main/java/wrenkeel/scale/LearnExperiment.java
@@ -56,11 +56,15 @@
     private long length;
 
     @Override
-    public Integer call() throws IOException {
+    public Integer call() throws Exception {
+        return TimeLimit.within(options.mostSeconds(), this::run);
+    }
+
+    private int run() throws IOException {
         EndpointModel.Behaviour behaviour = EndpointModel.Behaviour.unlimited(250_000, 0.4)
             .with(new EndpointModel.Limit(2 * limit, 2_000, tellsWait, false))
             .with(new EndpointModel.Cold(0.2, 10_000, 2, 2_000, 5_000));
-        try (TimeLimit timeLimit = new TimeLimit(options.mostSeconds()); Report report = new Report("learn", options)) {
+        try (Report report = new Report("learn", options)) {
             for (int play = 0; play < options.plays(); play++) {
                 for (long relays : options.sizes(10L, 100L, 500L, 1_000L, 2_300L)) {
                     LearnFleet fleet = new LearnFleet(new LearnFleet.Setup(Math.toIntExact(relays), destinations, rate,
--- a/src/main/java/wrenkeel/scale/LoadedRelay.java
+++ b/src/main/java/wrenkeel/scale/LoadedRelay.java
@@ -88,7 +88,7 @@
     }
 
     @Override
-    public void close() throws IOException {
+    public void close() {
         try {
             process.close();
         } finally {
--- a/src/main/java/wrenkeel/scale/TrafficExperiment.java
+++ b/src/main/java/wrenkeel/scale/TrafficExperiment.java
@@ -112,14 +112,17 @@
     private long length;
 
     @Override
-    public Integer call() throws IOException, InterruptedException {
+    public Integer call() throws Exception {
+        return TimeLimit.within(options.mostSeconds(), this::run);
+    }
+
+    private int run() throws IOException, InterruptedException {
         List<Long> sizes = vary == Vary.RATE ? options.sizes(50L, 152L, 300L, 456L, 1_000L)
             : options.sizes(20L, 1_000L, 10_000L, 20_000L, 100_000L);
         EndpointModel.Behaviour behaviour = EndpointModel.Behaviour.unlimited(answerMillis * 1_000, answerSigma)
             .with(new EndpointModel.Limit(limit, 1_000, true, false));
         List<LoadedRelay> loaded = new ArrayList<>();
-        try (TimeLimit timeLimit = new TimeLimit(options.mostSeconds());
-             Report report = new Report("traffic", options);
+        try (Report report = new Report("traffic", options);
              StandInDestinations standIns = new StandInDestinations(ports, behaviour, 1, THREADS, options.seed(0),
                  System::nanoTime)) {
             List<Integer> dials = standIns.ports();
