Count deliveries against all messages due, and tell how late the clients were themselves

Its delivered_percent and duplicates_percent are of the messages taken, hence over 100 where some were delivered that their client had left; from this commit on they are of the messages due.

--- a/src/main/java/wrenkeel/scale/StandInClients.java
+++ b/src/main/java/wrenkeel/scale/StandInClients.java
@@ -151,7 +151,7 @@
 
     private void arrive() {
         Handed handed = new Handed(new MessageId(sequence++, dueNanos), tally);
-        tally.handedIn();
+        tally.handedIn((System.nanoTime() - dueNanos) / 1_000);
         next();
         handed.request = request(handed.id);
         send(handed);
--- a/src/main/java/wrenkeel/scale/Tally.java
+++ b/src/main/java/wrenkeel/scale/Tally.java
@@ -8,10 +8,12 @@
     private static final long LONGEST = 10_000_000;
 
     private volatile long due, taken, refused, failed, unanswered, broken, unsent;
-    private final Histogram answers = new Histogram(LONGEST, 3);
+    private final Histogram answers = new Histogram(LONGEST, 3), late = new Histogram(LONGEST, 3);
 
-    void handedIn() {
+    /** A message is handed in so long after it was due: the clients' own lag, no fault of the relay. */
+    synchronized void handedIn(long lateMicros) {
         due++;
+        late.recordValue(Math.min(LONGEST, Math.max(0, lateMicros)));
     }
 
     /** An answer came so long after the message was due: later than it was sent if the clients were behind. */
@@ -78,6 +80,11 @@
         return taken + refused + failed + unanswered + broken + unsent == due;
     }
 
+    /** ms from when a message was due until its client handed it in, at this percentile. */
+    synchronized double lateMillis(double percentile) {
+        return late.getValueAtPercentile(percentile) / 1e3;
+    }
+
     /** ms from when a message was due until its client had the answer, at this percentile. */
     synchronized double answerMillis(double percentile) {
         return answers.getValueAtPercentile(percentile) / 1e3;
--- a/src/main/java/wrenkeel/scale/TrafficExperiment.java
+++ b/src/main/java/wrenkeel/scale/TrafficExperiment.java
@@ -231,8 +231,9 @@
         values.put("refused_percent", percent(tally.refused(), tally.due()));
         values.put("unanswered_percent", percent(tally.unanswered(), tally.due()));
         values.put("otherwise_percent", percent(tally.failed() + tally.broken() + tally.unsent(), tally.due()));
-        values.put("delivered_percent", percent(deliveries.count(), tally.taken()));
-        values.put("duplicates_percent", percent(deliveries.duplicates(), tally.taken()));
+        values.put("delivered_percent", percent(deliveries.count(), tally.due()));
+        values.put("duplicates_percent", percent(deliveries.duplicates(), tally.due()));
+        values.put("handed_in_late_p99_ms", tally.lateMillis(99));
         values.put("answer_p50_ms", tally.answerMillis(50));
         values.put("answer_p99_ms", tally.answerMillis(99));
         values.put("call_p50_ms", deliveries.callMillis(50));
--- a/src/test/java/wrenkeel/scale/TrafficExperimentTest.java
+++ b/src/test/java/wrenkeel/scale/TrafficExperimentTest.java
@@ -38,7 +38,7 @@
         Tally tally = new Tally();
         int[] statuses = {200, 202, 429, 503, 504};
         for (int i = 0; i < statuses.length + 3; i++) {
-            tally.handedIn();
+            tally.handedIn(2_000);
         }
         for (int status : statuses) {
             tally.answered(status, 1_000);
@@ -50,5 +50,6 @@
         assertEquals(true, tally.settled());
         assertEquals(List.of(2L, 2L, 1L), List.of(tally.taken(), tally.refused(), tally.failed()));
         assertEquals(1, tally.answerMillis(50), 0.01);
+        assertEquals(2, tally.lateMillis(50), 0.01);
     }
 }
