--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -182,15 +182,17 @@
         int zone, kind;
         Dest dest;
         Lane lane;
-        boolean ready, confirmed;
+        /** {@code avoided}: counted among those that the list calls ready and that are out. */
+        boolean ready, confirmed, avoided;
         Health health = Health.GOOD;
         int inflight, failRun, trials, overdue;
         double latency, failing;
         long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt, lastSent;
         double spacing;
-        final ArrayDeque<Long> idle = new ArrayDeque<>();
+        final ArrayDeque<Long> idle = new ArrayDeque<>(2);
         Call bundle;
-        long bundleTurn = -1, goneAt;
+        /** {@code goneAt}: -1 while it is not off the list. */
+        long bundleTurn = -1, goneAt = -1;
 
         /** True when a connection idle since no earlier than that is left. */
         boolean warm(long since) {
@@ -201,12 +203,16 @@
         }
     }
 
-    /** One destination: its routes, waiting messages, window and answers. */
+    /**
+     * One destination: its routes, waiting messages, window and answers. A fleet's relay meets most of them
+     * now and then with one message, so what holds many is made as it is first needed.
+     */
     static final class Dest {
+        final long id;
         final Map<Long, Route> routes = new TreeMap<>();
-        /** Messages taken up untried, the one whose time is up first ahead. */
-        private final PriorityQueue<Msg> owed =
-            new PriorityQueue<>(Comparator.comparingLong(m -> m.deadline));
+        /** Messages taken up untried, the one whose time is up first ahead; null before the first. */
+        private PriorityQueue<Msg> owed;
+        /** Null where no message of that sort has waited yet. */
         Band[] bands;
         final Answers answers;
         Lane shared;
@@ -217,20 +223,28 @@
         double window = 1, copies = 1, latest, usual;
         /** {@code elsewhere}: calls that the process before this one still has out. */
         int kind = -1, calls, elsewhere, waiting, overdue, refusals;
-        long lookAt, refusedAt, backoffUntil;
+        /** Messages that are not settled, and routes that are off the list and not forgotten. */
+        int held, gone;
+        long lookAt, refusedAt, backoffUntil, usedAt;
 
-        Dest(int bands, int answers) {
-            this.bands = new Band[0];
+        Dest(long id, int bands, int answers) {
+            this.id = id;
+            this.bands = new Band[bands];
             this.answers = new Answers(answers);
-            widen(bands);
         }
 
         void owe(Msg m) {
+            if (owed == null) {
+                owed = new PriorityQueue<>(Comparator.comparingLong(other -> other.deadline));
+            }
             owed.add(m);
         }
 
         /** The first of those taken up untried that still waits; null when there is none. */
         Msg owed() {
+            if (owed == null) {
+                return null;
+            }
             while (!owed.isEmpty() && !(owed.peek().queued && owed.peek().owed)) {
                 owed.poll();
             }
@@ -239,9 +253,12 @@
 
         /** Makes room for the bands of further classes. */
         void widen(int most) {
-            int before = bands.length;
             bands = Arrays.copyOf(bands, most);
-            Arrays.setAll(bands, i -> i < before ? bands[i] : new Band());
+        }
+
+        Band band(int sort) {
+            bands[sort] = bands[sort] == null ? new Band() : bands[sort];
+            return bands[sort];
         }
 
         /** Counts a message into the rate over an exponential span; {@code age}: counted how long. */
@@ -254,16 +271,22 @@
 
     /** The times of the most recent answers. */
     static final class Answers {
-        private final long[] ring;
+        private static final int FIRST = 4;
+        private final int size;
+        /** Grows up to the size. */
+        private long[] ring = {};
         private long[] sorted = {};
         int count;
 
         Answers(int size) {
-            ring = new long[size];
+            this.size = size;
         }
 
         void add(long time) {
-            ring[count++ % ring.length] = time;
+            if (count == ring.length && count < size) {
+                ring = Arrays.copyOf(ring, Math.min(size, Math.max(FIRST, 2 * count)));
+            }
+            ring[count++ % size] = time;
             sorted = null;
         }
 
--- a/src/main/java/wrenkeel/Wire.java
+++ b/src/main/java/wrenkeel/Wire.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -25,7 +27,7 @@
     public static final class Malformed extends IOException {
         private static final long serialVersionUID = 1L;
 
-        Malformed(String fault) {
+        public Malformed(String fault) {
             super(fault);
         }
     }
@@ -130,6 +132,54 @@
         return Fields.asFields(only(line), "line");
     }
 
+    /** Told where a value stands: offset of its first byte, and how many bytes it has. */
+    public interface Place {
+        void at(long from, long length);
+    }
+
+    /**
+     * Decodes one object from a stream of UTF-8. The value of its field {@code apart}, if that is an object,
+     * is decoded without the elements of its arrays, which may be many; where it stands is told.
+     */
+    public static Fields decode(InputStream in, String apart, Place place) throws IOException {
+        try (JsonParser parser = JSON.createParser(in)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new Malformed("not an object");
+            }
+            Map<String, Object> map = new LinkedHashMap<>();
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                if (parser.nextToken() == JsonToken.START_OBJECT && name.equals(apart)) {
+                    long from = parser.currentTokenLocation().getByteOffset();
+                    map.put(name, withoutElements(parser));
+                    place.at(from, parser.currentLocation().getByteOffset() - from);
+                } else {
+                    map.put(name, value(parser));
+                }
+            }
+            if (parser.nextToken() != null) {
+                throw new Malformed("more than one value");
+            }
+            return new Fields(map);
+        } catch (JsonProcessingException e) {
+            throw new Malformed("bad JSON: " + e.getMessage().lines().findFirst().orElse(""));
+        }
+    }
+
+    private static Map<String, Object> withoutElements(JsonParser parser) throws IOException {
+        Map<String, Object> map = new LinkedHashMap<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            if (parser.nextToken() == JsonToken.START_ARRAY) {
+                parser.skipChildren();
+                map.put(name, List.of());
+            } else {
+                map.put(name, value(parser));
+            }
+        }
+        return map;
+    }
+
     /** Decodes one array of objects. */
     public static List<Fields> decodeArray(String text) throws Malformed {
         return new Fields(Collections.singletonMap("array", only(text))).objects("array");
@@ -310,7 +360,11 @@
             out.flush();
         }
 
+        /** Writes what the simulator is asked for; the other actions ask nothing of it. */
         void action(int instance, Relay.Action action) throws IOException {
+            if (action instanceof Relay.Forgotten || action instanceof Relay.Released) {
+                return;
+            }
             out.writeStartObject();
             if (action instanceof Relay.Send a) {
                 head("Issue", instance, a.id());
--- a/src/main/java/wrenkeel/net/Figures.java
+++ b/src/main/java/wrenkeel/net/Figures.java
@@ -22,13 +22,13 @@
     }
 
     /** What stands at one moment, rather than being counted. */
-    private record Standing(int pending, int members, int unavailable) { }
+    private record Standing(int pending, int members, int unavailable, long version, long faults) { }
 
     private final Map<String, Ends> classes = new ConcurrentSkipListMap<>();
     private final AtomicLong upstreamRequests = new AtomicLong();
     private final AtomicLong reloads = new AtomicLong();
     private final AtomicLong reloadErrors = new AtomicLong();
-    private volatile Standing standing = new Standing(0, 0, 0);
+    private volatile Standing standing = new Standing(0, 0, 0, -1, 0);
 
     /** These classes are in force; those of earlier settings stay, for their messages may yet end. */
     void inForce(Collection<String> names) {
@@ -64,9 +64,13 @@
         reloadErrors.incrementAndGet();
     }
 
-    /** {@code pending}: taken and not ended; {@code members}: listed endpoints, and those avoided now. */
-    void stands(int pending, int members, int unavailable) {
-        standing = new Standing(pending, members, unavailable);
+    /**
+     * {@code pending}: taken and not ended; {@code members}: listed endpoints, and those avoided now;
+     * {@code version} of the list held, -1 before the first, and {@code faults}: lists that came and could
+     * not be taken in.
+     */
+    void stands(int pending, int members, int unavailable, long version, long faults) {
+        standing = new Standing(pending, members, unavailable, version, faults);
     }
 
     byte[] json() {
@@ -81,6 +85,8 @@
             out.writeNumberField("pending", now.pending);
             out.writeNumberField("members", now.members);
             out.writeNumberField("members_unavailable", now.unavailable);
+            out.writeNumberField("list_version", now.version);
+            out.writeNumberField("list_faults", now.faults);
             out.writeNumberField("config_reloads", reloads.get());
             out.writeNumberField("config_reload_errors", reloadErrors.get());
             out.writeEndObject();
