--- a/src/main/java/wrenkeel/scale/Deliveries.java
+++ b/src/main/java/wrenkeel/scale/Deliveries.java
@@ -4,8 +4,9 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Which messages of one measured span have reached their destination, and how late. Counted at the destinations, by any
- * thread; only messages from {@code first} on count, and once {@link #until} is called only those before its number.
+ * Which messages of one measured span have reached their destination, and how late. Counted at the
+ * destinations, by any thread; only messages from {@code first} on count, and once {@link #until} is called
+ * only those before its number.
  */
 final class Deliveries {
     /** us; the longest time told apart, far past any message's life. */
--- a/src/main/java/wrenkeel/scale/EndpointModel.java
+++ b/src/main/java/wrenkeel/scale/EndpointModel.java
@@ -3,8 +3,8 @@
 import java.util.SplittableRandom;
 
 /**
- * How one endpoint answers calls: after a latency, within a limit on calls per span, cold after an outage. It opens no
- * socket and reads no clock; times are nanoseconds of one clock that does not go back. One thread.
+ * How one endpoint answers calls: after a latency, within a limit on calls per span, cold after an outage. It
+ * opens no socket and reads no clock; times are nanoseconds of one clock that does not go back. One thread.
  */
 final class EndpointModel {
     /** What an endpoint does with calls: answers them, takes them and stays silent, or has no listener. */
@@ -122,7 +122,8 @@
         }
         if (limit.calls > 0 && used + 1 > bears(now)) {
             used += limit.countsRefused ? 1 : 0;
-            return limit.tellsWait ? new Verdict(429, 0, millisUp(spanAt + span - now)) : new Verdict(503, 0, 0);
+            return limit.tellsWait ? new Verdict(429, 0, millisUp(spanAt + span - now))
+                : new Verdict(503, 0, 0);
         }
         used++;
         double stretch = behaviour.sigma == 0 ? 1 : Math.exp(behaviour.sigma * gaussian());
@@ -171,6 +172,7 @@
 
     /** One draw of a normal distribution (Box and Muller). */
     private double gaussian() {
-        return Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(2 * Math.PI * random.nextDouble());
+        return Math.sqrt(-2 * Math.log(1 - random.nextDouble()))
+            * Math.cos(2 * Math.PI * random.nextDouble());
     }
 }
--- a/src/main/java/wrenkeel/scale/LearnExperiment.java
+++ b/src/main/java/wrenkeel/scale/LearnExperiment.java
@@ -13,12 +13,13 @@
 import wrenkeel.Wire;
 
 /**
- * What a fleet finds out about destinations by its own calls, by the number of relays that share the same traffic. The
- * relays' decisions are the real ones, everything round them is modelled in this process ({@link LearnFleet}). The
- * destinations' limits, outages and cold returns are assumptions, and options.
+ * What a fleet finds out about destinations by its own calls, by the number of relays that share the same
+ * traffic. The relays' decisions are the real ones, everything round them is modelled in this process ({@link
+ * LearnFleet}). The destinations' limits, outages and cold returns are assumptions, and options.
  */
 @Command(name = "learn", mixinStandardHelpOptions = true,
-    description = "Many relays' decisions on a virtual clock: refused calls, cold falls, copies, what is known.")
+    description = "Many relays' decisions on a virtual clock: refused calls, cold falls, copies, what is "
+        + "known.")
 final class LearnExperiment implements Callable<Integer> {
     @Mixin
     private CommonOptions options;
@@ -32,7 +33,8 @@
     private double rate;
 
     @Option(names = "--limit", defaultValue = "3.9", paramLabel = "X",
-        description = "Calls a second that a destination takes, counted over 2 s (default: ${DEFAULT-VALUE}).")
+        description = "Calls a second that a destination takes, counted over 2 s (default: "
+            + "${DEFAULT-VALUE}).")
     private double limit;
 
     @Option(names = "--tells-wait", defaultValue = "true", negatable = true, fallbackValue = "true",
@@ -67,9 +69,12 @@
         try (Report report = new Report("learn", options)) {
             for (int play = 0; play < options.plays(); play++) {
                 for (long relays : options.sizes(10L, 100L, 500L, 1_000L, 2_300L)) {
-                    LearnFleet fleet = new LearnFleet(new LearnFleet.Setup(Math.toIntExact(relays), destinations, rate,
-                        behaviour, down, outageSeconds), settings(Math.toIntExact(relays)), options.seed(play));
-                    report.add(new Measurement("learn", relays, play, options.seed(play), fleet.play(warmUp, length)));
+                    int count = Math.toIntExact(relays);
+                    LearnFleet.Setup setup = new LearnFleet.Setup(count, destinations, rate, behaviour, down,
+                        outageSeconds);
+                    LearnFleet fleet = new LearnFleet(setup, settings(count), options.seed(play));
+                    report.add(new Measurement("learn", relays, play, options.seed(play),
+                        fleet.play(warmUp, length)));
                 }
             }
             report.finish(options.target(2_300));
@@ -81,7 +86,8 @@
     static Relay.Settings settings(int relays) throws IOException {
         Path file = Files.createTempFile("scale-learn", ".json");
         try {
-            RelayConfig.write(file, RelaySettings.typical("n1").withRelays(relays).withProfiles(TrafficExperiment.PROFILES),
+            RelayConfig.write(file,
+                RelaySettings.typical("n1").withRelays(relays).withProfiles(TrafficExperiment.PROFILES),
                 new InetSocketAddress("127.0.0.1", 1), null);
             return Wire.settings(Wire.decode(Files.readString(file)).object("settings"));
         } finally {
--- a/src/main/java/wrenkeel/scale/LearnFleet.java
+++ b/src/main/java/wrenkeel/scale/LearnFleet.java
@@ -13,9 +13,9 @@
 import wrenkeel.scale.EndpointModel.Standing;
 
 /**
- * Many relays' decisions against modelled destinations, on a virtual clock in microseconds: no sockets, no journal, no
- * list that changes. Messages come at random times to a relay drawn at random; a client that is refused does not come
- * again. One thread.
+ * Many relays' decisions against modelled destinations, on a virtual clock in microseconds: no sockets, no
+ * journal, no list that changes. Messages come at random times to a relay drawn at random; a client that is
+ * refused does not come again. One thread.
  */
 final class LearnFleet {
     /** us; one way between a relay and a destination. */
@@ -278,11 +278,13 @@
         values.put("meets_every_s", setup.relays() / setup.eventsPerDestination());
         values.put("answers_per_relay_and_destination", answers / pairs);
         values.put("known_pairs_percent", 100 * known / pairs);
-        values.put("calls_per_event", tally.calls / (setup.eventsPerDestination() * setup.destinations() * seconds));
+        values.put("calls_per_event",
+            tally.calls / (setup.eventsPerDestination() * setup.destinations() * seconds));
         values.put("refused_calls_percent", 100.0 * tally.refused / Math.max(1, tally.calls));
         values.put("copies_percent", 100.0 * tally.copies / Math.max(1, tally.calls));
         values.put("calls_per_s_out", tally.outSeconds == 0 ? 0 : tally.callsIntoOutage / tally.outSeconds);
-        values.put("falls_per_outage", tally.outages == 0 ? 0 : (double) (falls() - fallsBefore) / tally.outages);
+        values.put("falls_per_outage", tally.outages == 0 ? 0
+            : (double) (falls() - fallsBefore) / tally.outages);
         values.put("outages", (double) tally.outages);
         values.put("delivered_percent", 100.0 * tally.delivered / Math.max(1, tally.events));
         values.put("in_aim_percent", 100.0 * tally.inAim / Math.max(1, tally.events));
--- a/src/main/java/wrenkeel/scale/LoadedRelay.java
+++ b/src/main/java/wrenkeel/scale/LoadedRelay.java
@@ -27,7 +27,8 @@
      * @param destinations how many the list is to have, at 1.7 hosts each
      * @param ports the dials, which the hosts share by turns
      */
-    LoadedRelay(Path root, RelaySettings settings, long destinations, int play, long seed, List<Integer> ports)
+    LoadedRelay(Path root, RelaySettings settings, long destinations, int play, long seed,
+                List<Integer> ports)
         throws IOException, InterruptedException {
         this.size = destinations;
         this.play = play;
@@ -50,7 +51,8 @@
     boolean start() throws IOException, InterruptedException {
         long begun = System.nanoTime();
         process.start();
-        boolean held = process.awaitMembers(catalog.listed(), HELD_WITHIN, LOOK) && process.awaitServing(HELD_WITHIN);
+        boolean held = process.awaitMembers(catalog.listed(), HELD_WITHIN, LOOK)
+            && process.awaitServing(HELD_WITHIN);
         seconds = (System.nanoTime() - begun) / 1e9;
         return held;
     }
--- a/src/main/java/wrenkeel/scale/MessageId.java
+++ b/src/main/java/wrenkeel/scale/MessageId.java
@@ -1,8 +1,8 @@
 package wrenkeel.scale;
 
 /**
- * What the stand-in clients write into {@code X-Request-ID}. Relays pass it on unchanged, so a destination can tell from it
- * alone which message came and how late.
+ * What the stand-in clients write into {@code X-Request-ID}. Relays pass it on unchanged, so a destination
+ * can tell from it alone which message came and how late.
  *
  * @param sequence place among all messages of the run, from 0, in the order in which they were due
  * @param dueNanos when it was to be handed in, by {@link System#nanoTime}
--- a/src/main/java/wrenkeel/scale/StandInClients.java
+++ b/src/main/java/wrenkeel/scale/StandInClients.java
@@ -33,16 +33,17 @@
 import java.util.concurrent.atomic.LongAdder;
 
 /**
- * Clients of one relay. Messages come at random times of a given mean rate whatever became of those before (an open loop,
- * Poisson arrivals), and each time counts from when the message was due. Connections are kept and carry one request at a
- * time; when all are busy another is opened. All state belongs to one event loop.
+ * Clients of one relay. Messages come at random times of a given mean rate whatever became of those before
+ * (an open loop, Poisson arrivals), and each time counts from when the message was due. Connections are kept
+ * and carry one request at a time; when all are busy another is opened. All state belongs to one event loop.
  */
 final class StandInClients implements AutoCloseable {
     /** ms that a client waits for its answer. */
     static final long PATIENCE = 400;
     private static final int ANSWER_MOST = 64 * 1024;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Bootstrap bootstrap;
     private final InetSocketAddress relay;
@@ -141,7 +142,8 @@
     /** Arranges the next arrival. */
     private void next() {
         dueNanos += gapNanos(random, eventsPerSecond);
-        arrival = loop.schedule(this::arrive, Math.max(0, dueNanos - System.nanoTime()), TimeUnit.NANOSECONDS);
+        arrival = loop.schedule(this::arrive, Math.max(0, dueNanos - System.nanoTime()),
+            TimeUnit.NANOSECONDS);
     }
 
     /** The time to the next of events that come independently of each other. */
@@ -226,8 +228,8 @@
         Traffic.ClassShare kind = traffic.classes().get(draw(classShares));
         String tenant = tenantShares.length == 0 ? null : traffic.tenants().get(draw(tenantShares)).name();
         ByteBuf content = Unpooled.wrappedBuffer(body);
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/" + kind.name(),
-            content);
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
+            "/" + kind.name(), content);
         request.headers().set(HttpHeaderNames.HOST, "api.internal").set("X-Request-ID", id.text())
             .set("X-Priority-Class", kind.name()).set("X-Timeout-Ms", kind.lifeMillis())
             .set("X-Envelope", "dest=" + destinations.next(random))
@@ -299,7 +301,7 @@
                 return;
             }
             if (reused) {
-                // The relay closed an idle connection while the request was on its way: once more on a new one.
+                // The relay closed an idle connection that this request was on its way on: once more.
                 open(handed);
             } else {
                 handed.end(handed.tally::brokenOff);
--- a/src/main/java/wrenkeel/scale/StandInDestinations.java
+++ b/src/main/java/wrenkeel/scale/StandInDestinations.java
@@ -43,10 +43,10 @@
 import java.util.function.LongSupplier;
 
 /**
- * Endpoints of outside destinations, on loopback: {@code POST /v1/messages} and {@code /v1/messages:batch} as the
- * protocol's page has them. Each port is one endpoint with a limit and a standing of its own. Nothing on the wire names a
- * destination, so the dials of thousands of hosts may share a few ports, and then share limit and standing too: what is to
- * be told apart needs a port of its own.
+ * Endpoints of outside destinations, on loopback: {@code POST /v1/messages} and {@code /v1/messages:batch} as
+ * the protocol's page has them. Each port is one endpoint with a limit and a standing of its own. Nothing on
+ * the wire names a destination, so the dials of thousands of hosts may share a few ports, and then share
+ * limit and standing too: what is to be told apart needs a port of its own.
  */
 final class StandInDestinations implements AutoCloseable {
     /** Bytes of a call's body at most. */
@@ -70,9 +70,13 @@
     private final List<Endpoint> endpoints = new ArrayList<>();
     private final int bundleMost;
     private final LongSupplier clock;
-    private final LongAdder bytesIn = new LongAdder(), bytesOut = new LongAdder(), connected = new LongAdder();
-    private final LongAdder calls = new LongAdder(), turnedAway = new LongAdder(), abandoned = new LongAdder(),
-        malformed = new LongAdder();
+    private final LongAdder bytesIn = new LongAdder();
+    private final LongAdder bytesOut = new LongAdder();
+    private final LongAdder connected = new LongAdder();
+    private final LongAdder calls = new LongAdder();
+    private final LongAdder turnedAway = new LongAdder();
+    private final LongAdder abandoned = new LongAdder();
+    private final LongAdder malformed = new LongAdder();
     private volatile Deliveries deliveries = new Deliveries(Long.MAX_VALUE);
 
     /**
@@ -245,7 +249,8 @@
                     TimeUnit.NANOSECONDS);
             } else if (verdict.status() != 0) {
                 turnedAway.increment();
-                respond(context, HttpResponseStatus.valueOf(verdict.status()), verdict.waitMillis(), new byte[0], keep);
+                respond(context, HttpResponseStatus.valueOf(verdict.status()), verdict.waitMillis(),
+                    new byte[0], keep);
             }
         }
 
@@ -269,13 +274,14 @@
             respond(context, status, 0, new byte[0], false);
         }
 
-        private void respond(ChannelHandlerContext context, HttpResponseStatus status, long waitMillis, byte[] body,
-                             boolean keep) {
+        private void respond(ChannelHandlerContext context, HttpResponseStatus status, long waitMillis,
+                             byte[] body, boolean keep) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 Unpooled.wrappedBuffer(body));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             if (waitMillis > 0) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", waitMillis / 1e3));
+                response.headers().set(HttpHeaderNames.RETRY_AFTER,
+                    String.format(Locale.ROOT, "%.3f", waitMillis / 1e3));
             }
             if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -294,7 +300,8 @@
     /** The ids of a bundle; none where the body cannot be read. */
     private static List<String> ids(FullHttpRequest request) {
         List<String> ids = new ArrayList<>();
-        try (InputStream body = new ByteBufInputStream(request.content()); JsonParser parser = JSON.createParser(body)) {
+        try (InputStream body = new ByteBufInputStream(request.content());
+             JsonParser parser = JSON.createParser(body)) {
             int depth = 0;
             for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
                 depth += token.isStructStart() ? 1 : token.isStructEnd() ? -1 : 0;
--- a/src/main/java/wrenkeel/scale/Tally.java
+++ b/src/main/java/wrenkeel/scale/Tally.java
@@ -2,7 +2,9 @@
 
 import org.HdrHistogram.Histogram;
 
-/** How the messages of one measured span were met at the relay's door. Written by the clients' thread alone. */
+/**
+ * How the messages of one measured span were met at the relay's door. Written by the clients' thread alone.
+ */
 final class Tally {
     /** us; answers come within 400 ms or not at all. */
     private static final long LONGEST = 10_000_000;
@@ -16,7 +18,9 @@
         late.recordValue(Math.min(LONGEST, Math.max(0, lateMicros)));
     }
 
-    /** An answer came so long after the message was due: later than it was sent if the clients were behind. */
+    /**
+     * An answer came so long after the message was due: later than it was sent if the clients were behind.
+     */
     synchronized void answered(int status, long micros) {
         answers.recordValue(Math.min(LONGEST, Math.max(0, micros)));
         if (status == 200 || status == 202) {
--- a/src/main/java/wrenkeel/scale/TrafficExperiment.java
+++ b/src/main/java/wrenkeel/scale/TrafficExperiment.java
@@ -15,26 +15,35 @@
 import wrenkeel.scale.RelaySettings.Tenant;
 
 /**
- * One real relay between stand-in clients and destinations: what an event costs by how many come a second, and what
- * destinations cost at a fixed rate. All relays of a run start together and stand idle for a while, for a relay of a large
- * fleet holds back its first calls to each destination; then they are played one after another.
+ * One real relay between stand-in clients and destinations: what an event costs by how many come a second,
+ * and what destinations cost at a fixed rate. All relays of a run start together and stand idle for a while,
+ * for a relay of a large fleet holds back its first calls to each destination; then they are played one after
+ * another.
  *
- * <p>Assumptions, taken from no measurement: the classes with their lives and shares, the tenants, the bodies' size, the
- * destinations' latency, the skew. All that can be set is an option.
+ * <p>Assumptions, taken from no measurement: the classes with their lives and shares, the tenants, the
+ * bodies' size, the destinations' latency, the skew. All that can be set is an option.
  */
 @Command(name = "traffic", mixinStandardHelpOptions = true,
-    description = "One relay under traffic: processor time, journal bytes and memory by events a second or destinations.")
+    description = "One relay under traffic: processor time, journal bytes and memory by events a second or "
+        + "destinations.")
 final class TrafficExperiment implements Callable<Integer> {
     /** What the sizes are. */
     enum Vary { RATE, DESTINATIONS }
 
     static final List<Profile> PROFILES = List.of(new Profile("notice", 1_500, 6_000, "dedup", 5_000),
-        new Profile("query", 2_000, 9_000, "retryable", 0), new Profile("order", 2_500, 12_000, "fragile", 0));
-    private static final List<Traffic.ClassShare> CLASSES = List.of(new Traffic.ClassShare("notice", 0.35, 6_000, true),
-        new Traffic.ClassShare("query", 0.25, 9_000, false), new Traffic.ClassShare("order", 0.4, 12_000, true));
-    private static final List<Traffic.TenantShare> TENANTS = List.of(new Traffic.TenantShare("casa-azul", 0.5),
+        new Profile("query", 2_000, 9_000, "retryable", 0),
+        new Profile("order", 2_500, 12_000, "fragile", 0));
+    private static final List<Traffic.ClassShare> CLASSES = List.of(
+        new Traffic.ClassShare("notice", 0.35, 6_000, true),
+        new Traffic.ClassShare("query", 0.25, 9_000, false),
+        new Traffic.ClassShare("order", 0.4, 12_000, true));
+    private static final List<Traffic.TenantShare> TENANTS = List.of(
+        new Traffic.TenantShare("casa-azul", 0.5),
         new Traffic.TenantShare("verde-lda", 0.3), new Traffic.TenantShare("outros", 0.2));
-    /** Events a second of the whole fleet at the target; each tenant's quota is half as much again as its share. */
+    /**
+     * Events a second of the whole fleet at the target; each tenant's quota is half as much again as its
+     * share.
+     */
     private static final double FLEET_RATE = 350_000, QUOTA_ROOM = 1.5;
     /** Threads that serve the destinations; ms after a play in which its messages may still be delivered. */
     private static final int THREADS = 2, DRAIN = 2_000;
@@ -76,11 +85,13 @@
     private int ports;
 
     @Option(names = "--down-ports", defaultValue = "0", paramLabel = "N",
-        description = "Ports of these that nobody listens on, each with its part of the hosts (default: ${DEFAULT-VALUE}).")
+        description = "Ports of these that nobody listens on, each with its part of the hosts (default: "
+            + "${DEFAULT-VALUE}).")
     private int downPorts;
 
     @Option(names = "--limit", defaultValue = "0", paramLabel = "N",
-        description = "Calls a second that each port takes before it answers 429; 0 for no limit (default: ${DEFAULT-VALUE}).")
+        description = "Calls a second that each port takes before it answers 429; 0 for no limit (default: "
+            + "${DEFAULT-VALUE}).")
     private double limit;
 
     @Option(names = "--slots", defaultValue = "96", paramLabel = "N",
@@ -119,12 +130,13 @@
     private int run() throws IOException, InterruptedException {
         List<Long> sizes = vary == Vary.RATE ? options.sizes(50L, 152L, 300L, 456L, 1_000L)
             : options.sizes(20L, 1_000L, 10_000L, 20_000L, 100_000L);
-        EndpointModel.Behaviour behaviour = EndpointModel.Behaviour.unlimited(answerMillis * 1_000, answerSigma)
+        EndpointModel.Behaviour behaviour = EndpointModel.Behaviour
+            .unlimited(answerMillis * 1_000, answerSigma)
             .with(new EndpointModel.Limit(limit, 1_000, true, false));
         List<LoadedRelay> loaded = new ArrayList<>();
         try (Report report = new Report("traffic", options);
-             StandInDestinations standIns = new StandInDestinations(ports, behaviour, 1, THREADS, options.seed(0),
-                 System::nanoTime)) {
+             StandInDestinations standIns = new StandInDestinations(ports, behaviour, 1, THREADS,
+                 options.seed(0), System::nanoTime)) {
             List<Integer> dials = standIns.ports();
             for (int i = 0; i < Math.min(ports, downPorts); i++) {
                 standIns.stand(i, EndpointModel.Standing.REFUSING);
@@ -153,10 +165,11 @@
         List<Long> lists = new ArrayList<>(vary == Vary.RATE ? List.of((long) destinations) : sizes);
         for (int play = 0; play < options.plays(); play++) {
             for (long count : List.copyOf(lists)) {
-                LoadedRelay relay = new LoadedRelay(options.root(), settings(), count, play, options.seed(play), ports);
+                LoadedRelay relay = new LoadedRelay(options.root(), settings(), count, play,
+                    options.seed(play), ports);
                 loaded.add(relay);
                 if (!relay.start()) {
-                    // It would ask for the list without end beside the plays of the others; one such play is enough.
+                    // It would ask for the list without end beside the plays of others; one play is enough.
                     lists.remove(count);
                     loaded.remove(relay);
                     report.add(new Measurement("traffic", vary == Vary.RATE ? sizes.get(0) : count, play,
@@ -176,7 +189,8 @@
 
     private void playAll(LoadedRelay relay, List<Long> sizes, StandInDestinations standIns, Report report)
         throws IOException, InterruptedException {
-        Traffic traffic = new Traffic(relay.destinations(), exponent, bodyBytes, CLASSES, TENANTS, CONNECTIONS_MOST);
+        Traffic traffic = new Traffic(relay.destinations(), exponent, bodyBytes, CLASSES, TENANTS,
+            CONNECTIONS_MOST);
         try (StandInClients clients = new StandInClients(relay.process().clients(), traffic, relay.seed)) {
             boolean first = true;
             for (long size : sizes) {
@@ -189,7 +203,10 @@
         }
     }
 
-    /** The traffic goes on from before; what is measured is that of the play's time, and the ends of its messages. */
+    /**
+     * The traffic goes on from before; what is measured is that of the play's time, and the ends of its
+     * messages.
+     */
     private Map<String, Double> play(LoadedRelay relay, StandInClients clients, StandInDestinations standIns)
         throws IOException, InterruptedException {
         Tally tally = new Tally();
@@ -220,7 +237,8 @@
         values.put("cpu_percent", cpuMicros / seconds / 1e4);
         values.put("cpu_ms_per_event", cpuMicros / 1e3 / events);
         values.put("busiest_thread_percent", busiest(before.threads(), after.threads()) / seconds / 1e7);
-        values.put("journal_bytes_per_event", (double) (after.journalBytes() - before.journalBytes()) / events);
+        values.put("journal_bytes_per_event",
+            (double) (after.journalBytes() - before.journalBytes()) / events);
         values.put("calls_per_event", (double) (after.calls() - before.calls()) / events);
         values.put("connections_per_event", (double) (after.connected() - before.connected()) / events);
         values.put("turned_away_per_event", (double) (after.turnedAway() - before.turnedAway()) / events);
@@ -230,7 +248,8 @@
         values.put("taken_percent", percent(tally.taken(), tally.due()));
         values.put("refused_percent", percent(tally.refused(), tally.due()));
         values.put("unanswered_percent", percent(tally.unanswered(), tally.due()));
-        values.put("otherwise_percent", percent(tally.failed() + tally.broken() + tally.unsent(), tally.due()));
+        values.put("otherwise_percent",
+            percent(tally.failed() + tally.broken() + tally.unsent(), tally.due()));
         values.put("delivered_percent", percent(deliveries.count(), tally.due()));
         values.put("duplicates_percent", percent(deliveries.duplicates(), tally.due()));
         values.put("handed_in_late_p99_ms", tally.lateMillis(99));
@@ -254,17 +273,18 @@
     }
 
     /**
-     * All counters at one moment. {@code journalBytes}: what the relay wrote less what arrived at its peers, which is its
-     * journal and a few lines of log.
+     * All counters at one moment. {@code journalBytes}: what the relay wrote less what arrived at its peers,
+     * which is its journal and a few lines of log.
      */
-    private record Reading(long nanos, long cpuMicros, Map<String, Long> threads, long journalBytes, long calls,
-                           long connected, long turnedAway, long givenUp, long handedBack) {
-        static Reading take(LoadedRelay relay, StandInClients clients, StandInDestinations standIns) throws IOException {
+    private record Reading(long nanos, long cpuMicros, Map<String, Long> threads, long journalBytes,
+                           long calls, long connected, long turnedAway, long givenUp, long handedBack) {
+        static Reading take(LoadedRelay relay, StandInClients clients, StandInDestinations standIns)
+            throws IOException {
             RelayProcess process = relay.process();
             long toPeers = clients.bytesIn() + standIns.bytesIn() + relay.agent().bytesIn();
             return new Reading(System.nanoTime(), process.cpuMicros(), process.threadNanos(),
-                process.writtenBytes() - toPeers, standIns.calls(), standIns.connected(), standIns.turnedAway(),
-                relay.givenUp(), relay.handedBack());
+                process.writtenBytes() - toPeers, standIns.calls(), standIns.connected(),
+                standIns.turnedAway(), relay.givenUp(), relay.handedBack());
         }
     }
 }
--- a/src/main/java/wrenkeel/scale/ZipfSampler.java
+++ b/src/main/java/wrenkeel/scale/ZipfSampler.java
@@ -2,7 +2,9 @@
 
 import java.util.SplittableRandom;
 
-/** Draws destinations 0 to n - 1 where the k-th has a share in proportion to 1 / k^exponent; 0 is the busiest. */
+/**
+ * Draws destinations 0 to n - 1 where the k-th has a share in proportion to 1 / k^exponent; 0 is the busiest.
+ */
 final class ZipfSampler {
     private final double[] upTo;
 
--- a/src/test/java/wrenkeel/scale/EndpointModelTest.java
+++ b/src/test/java/wrenkeel/scale/EndpointModelTest.java
@@ -55,7 +55,8 @@
 
     @Test
     void isSilentThroughAnOutageAndColdAfterIt() {
-        EndpointModel model = model(PLAIN.with(new Limit(10, 1_000, false, false)).with(new Cold(0.2, 10_000, 0, 1_000, 0)));
+        EndpointModel model = model(PLAIN.with(new Limit(10, 1_000, false, false))
+            .with(new Cold(0.2, 10_000, 0, 1_000, 0)));
         model.stand(Standing.SILENT, 0);
         assertEquals(0, model.call(1).status());
         model.stand(Standing.SERVING, 5_000 * MS);
@@ -80,7 +81,7 @@
         assertEquals(10, taken(model, 0, 100), "warm it only refuses");
         model.stand(Standing.SILENT, 0);
         model.stand(Standing.SERVING, 5_000 * MS);
-        // It bears 2 a second at first: 8 calls in 2 s are twice that, 2 of them taken, and one more is too many.
+        // It bears 2 a second at first: 8 calls in 2 s are twice that, and one more is too many.
         assertEquals(2, taken(model, 5_000, 8));
         assertEquals(0, model.falls());
         assertEquals(0, model.call(5_000 * MS).status());
@@ -99,7 +100,8 @@
     }
 
     @Property
-    void takesNoMoreThanItsLimitInASpan(@ForAll @Size(max = 200) int[] gaps, @ForAll @IntRange(min = 1, max = 9) int limit,
+    void takesNoMoreThanItsLimitInASpan(@ForAll @Size(max = 200) int[] gaps,
+                                        @ForAll @IntRange(min = 1, max = 9) int limit,
                                         @ForAll boolean refusedCount) {
         EndpointModel model = model(PLAIN.with(new Limit(limit, 100, true, refusedCount)));
         Map<Long, Integer> taken = new HashMap<>();
@@ -110,7 +112,8 @@
             if (verdict.status() == 200) {
                 assertTrue(taken.merge(now / (100 * MS), 1, Integer::sum) <= limit);
             } else {
-                assertEquals(0, (now + verdict.waitMillis() * MS) % (100 * MS), "the wait ends with the span");
+                assertEquals(0, (now + verdict.waitMillis() * MS) % (100 * MS),
+                    "the wait ends with the span");
             }
         }
     }
--- a/src/test/java/wrenkeel/scale/LearnFleetTest.java
+++ b/src/test/java/wrenkeel/scale/LearnFleetTest.java
@@ -27,7 +27,8 @@
 
     @Test
     void isTheSameForTheSameSeed() throws IOException {
-        LearnFleet.Setup setup = new LearnFleet.Setup(5, 4, 2, PLAIN.with(new Limit(2, 1_000, true, false)), 0.1, 10);
+        LearnFleet.Setup setup = new LearnFleet.Setup(5, 4, 2, PLAIN.with(new Limit(2, 1_000, true, false)),
+            0.1, 10);
         Map<String, Double> values = play(setup, 7);
         assertEquals(values, play(setup, 7));
         assertTrue(values.get("refused_calls_percent") > 0);
--- a/src/test/java/wrenkeel/scale/StandInsTest.java
+++ b/src/test/java/wrenkeel/scale/StandInsTest.java
@@ -29,7 +29,8 @@
 final class StandInsTest {
     private static final long PATIENCE_S = 30;
     private static final Traffic TRAFFIC = new Traffic(10, 1, 100,
-        List.of(new Traffic.ClassShare("notice", 0.5, 5_000, true), new Traffic.ClassShare("query", 0.5, 2_000, false)),
+        List.of(new Traffic.ClassShare("notice", 0.5, 5_000, true),
+            new Traffic.ClassShare("query", 0.5, 2_000, false)),
         List.of(new Traffic.TenantShare("a", 0.5), new Traffic.TenantShare("b", 0.5)), 50);
 
     private final AtomicLong clock = new AtomicLong();
@@ -69,11 +70,12 @@
             String one = "{\"id\":\"0-0\",\"body\":\"aGVsbG8=\"}";
             String two = "{\"id\":\"1-0\",\"body\":\"aGVsbG8=\"}";
             HttpResponse<String> answer = call(port, "/v1/messages:batch", "", "[" + one + "," + two + "]");
-            assertEquals("[{\"id\":\"0-0\",\"state\":\"accepted\"},{\"id\":\"1-0\",\"state\":\"accepted\"}]", answer.body());
+            assertEquals("[{\"id\":\"0-0\",\"state\":\"accepted\"},{\"id\":\"1-0\",\"state\":\"accepted\"}]",
+                answer.body());
             assertEquals(400, call(port, "/v1/messages:batch", "", "[" + one + "," + one + "]").statusCode());
             assertEquals(400, call(port, "/v1/messages:batch", "", "[").statusCode());
-            assertEquals(413, call(port, "/v1/messages:batch", "", "[" + one + "," + two + "," + two.replace("1-0", "2-0")
-                + "]").statusCode());
+            String three = "[" + one + "," + two + "," + two.replace("1-0", "2-0") + "]";
+            assertEquals(413, call(port, "/v1/messages:batch", "", three).statusCode());
             assertEquals(2, deliveries.count());
             assertEquals(3, destinations.malformed());
         }
@@ -97,10 +99,11 @@
         AtomicLong count = new AtomicLong();
         door.createContext("/", exchange -> {
             exchange.getRequestBody().readAllBytes();
-            came.add(exchange.getRequestURI() + " " + exchange.getRequestHeaders().getFirst("X-Priority-Class") + " "
+            came.add(exchange.getRequestURI() + " "
+                + exchange.getRequestHeaders().getFirst("X-Priority-Class") + " "
                 + exchange.getRequestHeaders().containsKey("Idempotency-Key"));
             exchange.sendResponseHeaders(statuses[(int) (count.getAndIncrement() % statuses.length)], -1);
-            // Not the exchange: that would end the connection, and what crosses its end is handed in once more.
+            // Not the exchange: that would end the connection, and what crosses its end comes once more.
             exchange.getResponseBody().close();
         });
         door.start();
@@ -124,7 +127,7 @@
             while (!tally.settled()) {
                 Thread.onSpinWait();
             }
-            // Before the door is warm more may come than there are connections for; the others are met in turn.
+            // Before the door is warm more may come than there are connections for; the rest is met in turn.
             long sent = tally.due() - tally.unsent();
             assertEquals(sent, tally.taken() + tally.refused() + tally.failed());
             assertEquals((sent + 2) / 3, tally.taken());
