--- a/src/main/java/wrenkeel/scale/ScaleCommand.java
+++ b/src/main/java/wrenkeel/scale/ScaleCommand.java
@@ -8,6 +8,8 @@
     description = "Measures how cost grows with size: on loopback only, bounded in time and memory.",
     subcommands = {
         ListExperiment.class,
+        TrafficExperiment.class,
+        LearnExperiment.class,
     })
 public final class ScaleCommand {
     private ScaleCommand() { }
