--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -1002,9 +1002,13 @@
         }
     }
 
-    /** What the next process must know of each listed endpoint, in this clock's time. */
+    /**
+     * What the next process must know of each listed endpoint, in this clock's time. First what binds, then
+     * what was found out the hard way, for there may be no room for all of it.
+     */
     public List<Known> knowledge() {
-        return routes.values().stream().map(r -> new Known(r.id, r.lane.waitUntil, closedUntil(r),
+        return routes.values().stream().sorted(Comparator.comparingInt(r -> r.lane.waitUntil > now ? 0
+            : r.health != Health.GOOD || closedUntil(r) > now ? 1 : 2)).map(r -> new Known(r.id, r.lane.waitUntil, closedUntil(r),
             r.health == Health.OUT, r.health == Health.RETURNING ? r.returnAt : 0, r.lane.pace, r.dest.window,
             r.latency)).toList();
     }
--- a/src/main/java/wrenkeel/net/Knowledge.java
+++ b/src/main/java/wrenkeel/net/Knowledge.java
@@ -20,7 +20,9 @@
 
     private Knowledge() { }
 
-    static String write(List<Relay.Known> all, HostList hosts, LongUnaryOperator toUnix) throws IOException {
+    /** Stops once the text has {@code most} characters: what comes later in the list is left out. */
+    static String write(List<Relay.Known> all, HostList hosts, LongUnaryOperator toUnix, long most)
+        throws IOException {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = JSON.createGenerator(text)) {
             out.writeStartObject();
@@ -28,6 +30,10 @@
             out.writeArrayFieldStart("known");
             for (Relay.Known known : all) {
                 HostList.Host host = hosts.host(known.endpoint());
+                out.flush();
+                if (text.getBuffer().length() >= most) {
+                    break;
+                }
                 if (host == null) {
                     continue;
                 }
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -27,6 +27,8 @@
     /** us; told to a client that is turned away before the module has seen its message. */
     private static final long COME_BACK = 1_000_000;
     private static final long AFTER_FAULT = 100_000;
+    /** Part of the folder's room that knowledge for the next process may take; the rest is the journal's. */
+    private static final int KNOWLEDGE_PART = 8;
     /** ms between looks at what stands rather than is counted, and at what the module may release. */
     private static final long STAND = 100, RELEASE = 1_000;
 
@@ -82,6 +84,7 @@
     private final long began = System.nanoTime();
     /** Unix time, ms. */
     private final long beganAt = System.currentTimeMillis();
+    private final long knowledgeMost;
     private boolean turnDue;
     private boolean stopped;
     private boolean leaving;
@@ -94,6 +97,7 @@
          Agent agent) {
         this.loop = loop;
         this.settings = config.settings();
+        this.knowledgeMost = config.diskBytes() / KNOWLEDGE_PART;
         this.control = new Control(config.seed(), settings);
         this.hosts = hosts;
         this.pool = pool;
@@ -220,7 +224,7 @@
         leaving = true;
         tell(new Relay.Leave());
         turn();
-        journal.leave(Knowledge.write(control.knowledge(), hosts, this::unixTime));
+        journal.leave(Knowledge.write(control.knowledge(), hosts, this::unixTime, knowledgeMost));
         pool.closeAllIdle();
     }
 
