--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -1007,10 +1007,11 @@
      * what was found out the hard way, for there may be no room for all of it.
      */
     public List<Known> knowledge() {
-        return routes.values().stream().sorted(Comparator.comparingInt(r -> r.lane.waitUntil > now ? 0
-            : r.health != Health.GOOD || closedUntil(r) > now ? 1 : 2)).map(r -> new Known(r.id, r.lane.waitUntil, closedUntil(r),
-            r.health == Health.OUT, r.health == Health.RETURNING ? r.returnAt : 0, r.lane.pace, r.dest.window,
-            r.latency)).toList();
+        Comparator<Route> first = Comparator.comparingInt(r -> r.lane.waitUntil > now ? 0
+            : r.health != Health.GOOD || closedUntil(r) > now ? 1 : 2);
+        return routes.values().stream().sorted(first).map(r -> new Known(r.id, r.lane.waitUntil,
+            closedUntil(r), r.health == Health.OUT, r.health == Health.RETURNING ? r.returnAt : 0,
+            r.lane.pace, r.dest.window, r.latency)).toList();
     }
 
     /** Goes on where the process before stood: its waits bind, and what it found out is not tried again. */
