--- a/src/main/java/wrenkeel/scale/LearnExperiment.java
+++ b/src/main/java/wrenkeel/scale/LearnExperiment.java
@@ -41,6 +41,10 @@
         description = "Refused calls are told to wait (default: ${DEFAULT-VALUE}).")
     private boolean tellsWait;
 
+    @Option(names = "--keep-all",
+        description = "The module is told of all destinations at the start and releases none.")
+    private boolean keeps;
+
     @Option(names = "--down", defaultValue = "0.013", paramLabel = "X",
         description = "Part of the time that a destination is out (default: ${DEFAULT-VALUE}).")
     private double down;
@@ -71,7 +75,7 @@
                 for (long relays : options.sizes(10L, 100L, 500L, 1_000L, 2_300L)) {
                     int count = Math.toIntExact(relays);
                     LearnFleet.Setup setup = new LearnFleet.Setup(count, destinations, rate, behaviour, down,
-                        outageSeconds);
+                        outageSeconds, !keeps);
                     LearnFleet fleet = new LearnFleet(setup, settings(count), options.seed(play));
                     report.add(new Measurement("learn", relays, play, options.seed(play),
                         fleet.play(warmUp, length)));
--- a/src/main/java/wrenkeel/scale/LearnFleet.java
+++ b/src/main/java/wrenkeel/scale/LearnFleet.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.HdrHistogram.Histogram;
 import wrenkeel.Control;
@@ -31,9 +33,11 @@
      * @param behaviour of each destination
      * @param downShare part of the time that a destination is out, 0 to 1
      * @param outageSeconds mean length of an outage, half of them silent, half refusing connections
+     * @param releases as the real relay has it: the module is told of a destination before a message for it,
+     *     and releases it when nothing rests on it; else it is told of all at the start and keeps them
      */
     record Setup(int relays, int destinations, double eventsPerDestination, EndpointModel.Behaviour behaviour,
-                 double downShare, double outageSeconds) { }
+                 double downShare, double outageSeconds, boolean releases) { }
 
     /** Something due at a time; what is due at one time keeps its order. */
     private record Due(long at, long order, Runnable what) implements Comparable<Due> {
@@ -87,6 +91,7 @@
     private final class Member {
         final Control control;
         final Map<String, Message> messages = new HashMap<>();
+        final Set<Long> introduced = new HashSet<>();
         final int[] answers = new int[setup.destinations()];
         long wakeAt = Long.MAX_VALUE;
 
@@ -113,6 +118,9 @@
                 over(refuse.id(), tally.handedBack);
             } else if (action instanceof Relay.Fail fail) {
                 over(fail.id(), tally.givenUp);
+            } else if (action instanceof Relay.Released released) {
+                introduced.remove(released.destination());
+                tally.released += measured() ? 1 : 0;
             } else if (action instanceof Relay.Wake wake) {
                 wakeAt = Math.min(wakeAt, now + wake.after());
                 at(now + wake.after(), () -> {
@@ -124,6 +132,14 @@
             }
         }
 
+        void accept(Relay.Accepted message) {
+            if (setup.releases() && introduced.add(message.destination())) {
+                turn(new Relay.Introduced(endpoints(message.destination())), message);
+            } else {
+                turn(message);
+            }
+        }
+
         private void over(String id, long[] end) {
             Message message = messages.get(id);
             if (message != null && !message.over) {
@@ -195,7 +211,7 @@
     private static final class Counts {
         final long[] handedBack = new long[1], givenUp = new long[1];
         final Histogram untilCall = new Histogram(3_600 * SECOND, 3);
-        long events, calls, copies, refused, callsIntoOutage, delivered, inAim, outages;
+        long events, calls, copies, refused, callsIntoOutage, delivered, inAim, outages, released;
         double outSeconds;
     }
 
@@ -216,8 +232,8 @@
         List<Relay.Endpoint> list = new ArrayList<>();
         for (int d = 0; d < setup.destinations(); d++) {
             destinations.add(new Destination(new EndpointModel(setup.behaviour(), random.nextLong())));
-            for (int i = 0; i < 2; i++) {
-                list.add(new Relay.Endpoint(2L * d + i, 0, 0, d, Relay.Listing.READY, 1));
+            if (!setup.releases()) {
+                list.addAll(endpoints(d));
             }
             beginOutage(d);
         }
@@ -227,6 +243,26 @@
             member.turn(new Relay.Listed(Relay.ListKind.WHOLE, list));
         }
         arrival();
+        if (setup.releases()) {
+            release();
+        }
+    }
+
+    private static List<Relay.Endpoint> endpoints(long destination) {
+        return List.of(new Relay.Endpoint(2 * destination, 0, 0, destination, Relay.Listing.READY, 1),
+            new Relay.Endpoint(2 * destination + 1, 0, 0, destination, Relay.Listing.READY, 1));
+    }
+
+    /** Once a second, as the real relay does. */
+    private void release() {
+        at(now + SECOND, () -> {
+            for (Member member : members) {
+                if (!member.introduced.isEmpty()) {
+                    member.turn(new Relay.Release());
+                }
+            }
+            release();
+        });
     }
 
     private void at(long time, Runnable what) {
@@ -278,6 +314,8 @@
         values.put("meets_every_s", setup.relays() / setup.eventsPerDestination());
         values.put("answers_per_relay_and_destination", answers / pairs);
         values.put("known_pairs_percent", 100 * known / pairs);
+        values.put("released_per_event",
+            tally.released / (setup.eventsPerDestination() * setup.destinations() * seconds));
         values.put("calls_per_event",
             tally.calls / (setup.eventsPerDestination() * setup.destinations() * seconds));
         values.put("refused_calls_percent", 100.0 * tally.refused / Math.max(1, tally.calls));
@@ -313,7 +351,7 @@
         tally.events += counts ? 1 : 0;
         String id = Long.toHexString(named++);
         member.messages.put(id, new Message(destination, now, now + kind.aim(), counts));
-        member.turn(new Relay.Accepted(id, number, 0, null, now + kind.life(), destination));
+        member.accept(new Relay.Accepted(id, number, 0, null, now + kind.life(), destination));
     }
 
     /** Arranges the next outage of a destination, and the one after that. */
--- a/src/test/java/wrenkeel/scale/LearnFleetTest.java
+++ b/src/test/java/wrenkeel/scale/LearnFleetTest.java
@@ -18,17 +18,24 @@
 
     @Test
     void deliversAllWhereNothingStandsInTheWay() throws IOException {
-        Map<String, Double> values = play(new LearnFleet.Setup(3, 4, 1, PLAIN, 0, 1), 1);
+        Map<String, Double> values = play(new LearnFleet.Setup(3, 4, 1, PLAIN, 0, 1, false), 1);
         assertEquals(100, values.get("delivered_percent"));
         assertEquals(0, values.get("refused_calls_percent"));
         assertEquals(0, values.get("outages"));
         assertEquals(40, values.get("answers_per_relay_and_destination"), 10);
     }
 
+    @Test
+    void releasesWhatItMeetsSeldom() throws IOException {
+        Map<String, Double> values = play(new LearnFleet.Setup(400, 4, 1, PLAIN, 0, 1, true), 1);
+        assertTrue(values.get("released_per_event") > 0.5);
+        assertEquals(100, values.get("delivered_percent"));
+    }
+
     @Test
     void isTheSameForTheSameSeed() throws IOException {
         LearnFleet.Setup setup = new LearnFleet.Setup(5, 4, 2, PLAIN.with(new Limit(2, 1_000, true, false)),
-            0.1, 10);
+            0.1, 10, true);
         Map<String, Double> values = play(setup, 7);
         assertEquals(values, play(setup, 7));
         assertTrue(values.get("refused_calls_percent") > 0);
