--- /dev/null
+++ b/src/main/java/wrenkeel/scale/ChangeExperiment.java
@@ -0,0 +1,88 @@
+package wrenkeel.scale;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** How long a change takes from the source until it is in force at each relay of a fleet. */
+@Command(name = "change", mixinStandardHelpOptions = true,
+    description = "A fleet of so many hollow relays: time from a change at the source until it is in force, at a"
+        + " day's pace (a sample, with shorter gaps) and at 1,000 a minute.")
+final class ChangeExperiment implements Callable<Integer> {
+    private static final int TARGET = 2_300;
+    /** ms between changes where 1,000 come in a minute. */
+    private static final double BURST_GAP = 60;
+
+    @Mixin
+    private CommonOptions options;
+    @Mixin
+    private FleetOptions fleetOptions;
+    @Option(names = "--day-changes", defaultValue = "30", paramLabel = "N",
+        description = "Changes of the day's sample (default: ${DEFAULT-VALUE}).")
+    private int dayChanges;
+    @Option(names = "--day-gap-ms", defaultValue = "300", paramLabel = "N",
+        description = "Mean gap between them; 3,100 a day are one in 27,900 ms (default: ${DEFAULT-VALUE}).")
+    private double dayGap;
+    @Option(names = "--burst-changes", defaultValue = "200", paramLabel = "N",
+        description = "Changes of the burst, one in 60 ms on the mean (default: ${DEFAULT-VALUE}).")
+    private int burstChanges;
+
+    @Override
+    public Integer call() throws Exception {
+        try (TimeLimit limit = new TimeLimit(options.mostSeconds());
+             Report report = new Report("change", options)) {
+            for (long size : options.sizes(100L, 300L, 1_000L, 2_300L)) {
+                for (int play = 0; play < options.plays(); play++) {
+                    report.add(new Measurement("change", size, play, options.seed(play),
+                        play((int) size, options.seed(play))));
+                }
+            }
+            report.finish(options.target(TARGET));
+        }
+        return 0;
+    }
+
+    private Map<String, Double> play(int size, long seed) throws Exception {
+        Map<String, Double> values = new LinkedHashMap<>();
+        try (Fleet fleet = new Fleet(size, seed, fleetOptions, Fleet::spread)) {
+            fleet.start();
+            // What runs for the first time is compiled before it is measured.
+            fleet.changes(dayChanges, BURST_GAP);
+            fleet.awaitRelays();
+            measure(fleet, size, "day_", dayChanges, dayGap, values);
+            measure(fleet, size, "burst_", burstChanges, BURST_GAP, values);
+        }
+        return values;
+    }
+
+    private static void measure(Fleet fleet, int size, String prefix, int changes, double gap,
+                                Map<String, Double> values) throws Exception {
+        fleet.relays().note(fleet.version(), changes);
+        Fleet.Spent before = fleet.spent();
+        List<Long> publishedAt = fleet.changes(changes, gap);
+        fleet.awaitRelays();
+        Fleet.Spent spent = fleet.spent().minus(before);
+        HollowFleet.InForce inForce = fleet.relays().inForce(publishedAt);
+        Histogram spans = inForce.spans();
+        if (spans.getTotalCount() != (long) size * changes) {
+            throw new IllegalStateException(spans.getTotalCount() + " times noted of " + (long) size * changes);
+        }
+        values.put(prefix + "p50_ms", spans.getValueAtPercentile(50) / 1e3);
+        values.put(prefix + "p99_ms", spans.getValueAtPercentile(99) / 1e3);
+        values.put(prefix + "last_relay_mean_ms",
+            inForce.last().stream().mapToLong(us -> us).average().orElseThrow() / 1e3);
+        values.put(prefix + "last_relay_most_ms",
+            inForce.last().stream().mapToLong(us -> us).max().orElseThrow() / 1e3);
+        // With the watches that end by themselves meanwhile.
+        values.put(prefix + "source_bytes_a_change", (double) spent.source().bytes() / changes);
+        values.put(prefix + "machine_bytes_a_change", (double) spent.machine().bytes() / changes);
+        values.put(prefix + "agent_bytes_a_change", (double) spent.agent().bytes() / changes);
+        values.put(prefix + "agent_calls_a_change", (double) spent.agent().calls() / changes);
+        spent.cpu(prefix, values);
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/FleetAgents.java
@@ -0,0 +1,76 @@
+package wrenkeel.scale;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.IntUnaryOperator;
+
+/** One agent a relay, each with a door of its own and a watch of its zone's machine; a few threads carry all. */
+final class FleetAgents implements AutoCloseable {
+    private static final int THREADS = 3;
+
+    private final ControlMachines machines;
+    private final long wait;
+    private final IntUnaryOperator zones;
+    private final HopCounters hop = new HopCounters();
+    private final ThreadTimes times = new ThreadTimes();
+    private final MultiThreadIoEventLoopGroup threads = new MultiThreadIoEventLoopGroup(THREADS,
+        new DefaultThreadFactory("agents", true), NioIoHandler.newFactory());
+    private final List<ListNode> agents = new ArrayList<>();
+
+    /** {@code wait}: ms that each agent's watch waits; {@code zones}: the zone of each agent. */
+    FleetAgents(ChangeLog log, ControlMachines machines, int count, long wait, IntUnaryOperator zones)
+        throws IOException {
+        this.machines = machines;
+        this.wait = wait;
+        this.zones = zones;
+        for (int i = 0; i < THREADS; i++) {
+            times.add(threads.next());
+        }
+        for (int i = 0; i < count; i++) {
+            EventLoop loop = threads.next();
+            ListNode agent = new ListNode(loop, log, hop);
+            agent.follow(machines.zone(zones.applyAsInt(i)), wait);
+            agents.add(agent);
+        }
+    }
+
+    int port(int agent) {
+        return agents.get(agent).address().getPort();
+    }
+
+    int size() {
+        return agents.size();
+    }
+
+    /** The agent's machine is lost and back: it holds nothing. */
+    Future<?> restart(int agent) {
+        return agents.get(agent).restart(machines.zone(zones.applyAsInt(agent)), wait);
+    }
+
+    /** The lowest version that any agent holds; -1 while one has no list. */
+    long version() {
+        return agents.stream().mapToLong(ListNode::version).min().orElseThrow();
+    }
+
+    /** Between the agents and their relays. */
+    HopCounters.Counts hop() {
+        return hop.read();
+    }
+
+    /** us of processor time of all agents so far. */
+    long cpuMicros() {
+        return times.micros();
+    }
+
+    @Override
+    public void close() {
+        agents.forEach(ListNode::close);
+        Shutdown.now(threads);
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/HollowFleet.java
@@ -0,0 +1,233 @@
+package wrenkeel.scale;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import java.util.zip.DataFormatException;
+import org.HdrHistogram.Histogram;
+
+/** Hollow relays in processes of some hundreds each, told what to do by {@link HollowProcess}'s commands. */
+final class HollowFleet implements AutoCloseable {
+    /** Digits of a histogram that count. */
+    static final int DIGITS = 3;
+    private static final long END_MOST_S = 5;
+    /** The flags of a real relay that shape its speed. */
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+        "-XX:-UsePerfData", "-Xss512k", "-Dorg.slf4j.simpleLogger.defaultLogLevel=error");
+
+    /** When each of some versions was in force: all spans over all relays, and the last relay's of each, us. */
+    record InForce(Histogram spans, List<Long> last) { }
+
+    /** After a collection, over all processes. */
+    record Memory(long heapBytes, long rssBytes, long descriptors) { }
+
+    private final int each;
+    private final int count;
+    private final Path folder;
+    private final List<Child> children = new ArrayList<>();
+
+    /**
+     * Starts the processes; their relays are not started yet.
+     *
+     * @param each relays a process
+     * @param heapMb most heap of a process
+     */
+    HollowFleet(FleetAgents agents, int each, int heapMb) throws IOException {
+        this.each = each;
+        this.count = agents.size();
+        this.folder = Files.createTempDirectory("wrenkeel-fleet");
+        try {
+            for (int from = 0; from < count; from += each) {
+                children.add(new Child(Files.createDirectory(folder.resolve("p" + from)), heapMb));
+            }
+            tell(child -> "add " + IntStream.range(0, child.size).mapToObj(i ->
+                String.valueOf(agents.port(child.from + i))).collect(Collectors.joining(" ")));
+        } catch (IOException | RuntimeException e) {
+            close();
+            throw e;
+        }
+    }
+
+    /** Starts the relays from one number up to another, exclusive. */
+    void start(int from, int to) throws IOException {
+        range("start", from, to);
+    }
+
+    /** Ends them as by SIGKILL; they can be started anew. */
+    void stop(int from, int to) throws IOException {
+        range("stop", from, to);
+    }
+
+    private List<String> range(String command, int from, int to) throws IOException {
+        return tell(child -> command + " " + clip(from - child.from, child.size) + " "
+            + clip(to - child.from, child.size));
+    }
+
+    private static int clip(int number, int size) {
+        return Math.max(0, Math.min(number, size));
+    }
+
+    /** Waits until all that run hold this version; how many do after so many seconds. */
+    long await(long version, long seconds) throws IOException {
+        return tell(child -> "await " + version + " " + seconds).stream().mapToLong(Long::parseLong).sum();
+    }
+
+    /** Notes from now on when each of the {@code versions} after this one, which all hold, comes into force. */
+    void note(long version, int versions) throws IOException {
+        tell(child -> "note " + version + " " + versions);
+    }
+
+    /** Given when each of the noted versions was published (epoch us): how long they took to be in force. */
+    InForce inForce(List<Long> publishedAt) throws IOException {
+        String command = "inforce " + publishedAt.stream().map(String::valueOf).collect(Collectors.joining(" "));
+        Histogram spans = new Histogram(DIGITS);
+        Map<Integer, Long> last = new TreeMap<>();
+        for (String answer : tell(child -> command)) {
+            String[] words = answer.split(" ");
+            spans.add(decode(words[0]));
+            for (int i = 1; i < words.length; i++) {
+                last.merge(i, Long.parseLong(words[i]), Math::max);
+            }
+        }
+        return new InForce(spans, List.copyOf(last.values()));
+    }
+
+    /** us from the latest start of each of these relays until its list was in force; those without one are left out. */
+    Histogram starts(int from, int to) throws IOException {
+        Histogram spans = new Histogram(DIGITS);
+        for (String answer : range("starts", from, to)) {
+            spans.add(decode(answer));
+        }
+        return spans;
+    }
+
+    Memory memory() throws IOException {
+        long heap = 0;
+        long descriptors = 0;
+        for (String answer : tell(child -> "memory")) {
+            heap += Long.parseLong(answer.split(" ")[0]);
+            descriptors += Long.parseLong(answer.split(" ")[1]);
+        }
+        long rss = 0;
+        for (Child child : children) {
+            rss += child.stats.rssBytes();
+        }
+        return new Memory(heap, rss, descriptors);
+    }
+
+    /** us of processor time of all processes so far. */
+    long cpuMicros() throws IOException {
+        long all = 0;
+        for (Child child : children) {
+            all += child.stats.cpuMicros();
+        }
+        return all;
+    }
+
+    int processes() {
+        return children.size();
+    }
+
+    /** All are told before the first is waited for. */
+    private List<String> tell(Function<Child, String> command) throws IOException {
+        for (Child child : children) {
+            child.commands.println(command.apply(child));
+        }
+        List<String> answers = new ArrayList<>();
+        for (Child child : children) {
+            answers.add(child.answer());
+        }
+        return answers;
+    }
+
+    static String encode(Histogram histogram) {
+        ByteBuffer bytes = ByteBuffer.allocate(histogram.getNeededByteBufferCapacity());
+        int length = histogram.encodeIntoCompressedByteBuffer(bytes);
+        return Base64.getEncoder().encodeToString(Arrays.copyOf(bytes.array(), length));
+    }
+
+    static Histogram decode(String text) throws IOException {
+        try {
+            return Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(Base64.getDecoder().decode(text)), 0);
+        } catch (DataFormatException e) {
+            throw new IOException("a process answered with no histogram", e);
+        }
+    }
+
+    /** Ends the processes by their numbers, and removes the relays' files. */
+    @Override
+    public void close() throws IOException {
+        children.forEach(child -> child.commands.close());
+        for (Child child : children) {
+            child.end();
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+
+    /** One process with the relays from {@code from} on. */
+    private final class Child {
+        private final int from = children.size() * each;
+        private final int size = Math.min(each, count - from);
+        private final Process process;
+        private final PrintStream commands;
+        private final BufferedReader answers;
+        private final ProcessStats stats;
+        private final Path errors;
+
+        Child(Path home, int heapMb) throws IOException {
+            errors = home.resolve("errors");
+            List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx" + heapMb + "m"));
+            command.addAll(FLAGS);
+            command.addAll(List.of("-cp", System.getProperty("java.class.path"), HollowProcess.class.getName(),
+                home.toString()));
+            process = new ProcessBuilder(command).redirectError(errors.toFile()).start();
+            commands = new PrintStream(process.getOutputStream(), true, StandardCharsets.US_ASCII);
+            answers = new BufferedReader(new InputStreamReader(process.getInputStream(),
+                StandardCharsets.US_ASCII));
+            stats = new ProcessStats(process.pid());
+        }
+
+        String answer() throws IOException {
+            String line = answers.readLine();
+            if (line == null || !line.startsWith("ok")) {
+                String log = Files.readString(errors);
+                throw new IOException("hollow relays from " + from + " on: "
+                    + (line == null ? "the process has ended" : line) + (log.isEmpty() ? "" : "\n" + log));
+            }
+            return line.substring(Math.min(line.length(), 3));
+        }
+
+        void end() {
+            try {
+                if (!process.waitFor(END_MOST_S, TimeUnit.SECONDS)) {
+                    process.destroyForcibly().waitFor();
+                }
+            } catch (InterruptedException e) {
+                process.destroyForcibly();
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/HollowProcess.java
@@ -0,0 +1,134 @@
+package wrenkeel.scale;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.StringJoiner;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+
+/**
+ * A process that holds many hollow relays. It is told what to do in lines on its standard input and answers each
+ * with one line; it ends when that input does, so that it never outlives the run. Relays are numbered from 0 in
+ * each process.
+ *
+ * <pre>
+ *   add PORT...               relays with their agents' ports           ok
+ *   start FROM TO             starts relays FROM up to TO exclusive      ok
+ *   stop FROM TO              ends them as by SIGKILL                    ok
+ *   await VERSION SECONDS     until all that run hold that version       ok HOW-MANY-DO
+ *   note VERSION COUNT        notes when the COUNT versions after it come into force: ok
+ *   inforce AT...             given when each was published (epoch us):  ok HISTOGRAM LAST-US...
+ *   starts FROM TO            from start to list held:                   ok HISTOGRAM
+ *   memory                    after a collection:                        ok HEAP-BYTES DESCRIPTORS
+ * </pre>
+ */
+final class HollowProcess {
+    private static final long LOOK = 2;
+
+    private final Path folder;
+    private final List<TimedRelay> relays = new ArrayList<>();
+    private long notedFrom;
+
+    private HollowProcess(Path folder) {
+        this.folder = folder;
+    }
+
+    /** The argument: an empty folder for its relays' files. */
+    public static void main(String[] args) throws IOException {
+        HollowProcess process = new HollowProcess(Path.of(args[0]));
+        PrintStream answers = System.out;
+        // Only answers go to the standard output.
+        System.setOut(System.err);
+        BufferedReader lines = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            try {
+                answers.println(("ok " + process.carryOut(line.split(" "))).strip());
+            } catch (IOException | InterruptedException | RuntimeException e) {
+                answers.println("fault " + line.split(" ")[0] + ": " + e);
+            }
+        }
+        System.exit(0);
+    }
+
+    private String carryOut(String[] words) throws IOException, InterruptedException {
+        return switch (words[0]) {
+            case "add" -> {
+                for (int i = 1; i < words.length; i++) {
+                    relays.add(new TimedRelay(folder, "n" + relays.size(), Integer.parseInt(words[i])));
+                }
+                yield "";
+            }
+            case "start" -> {
+                range(words).forEach(TimedRelay::start);
+                yield "";
+            }
+            case "stop" -> {
+                range(words).forEach(TimedRelay::stop);
+                yield "";
+            }
+            case "await" -> String.valueOf(await(Long.parseLong(words[1]), Long.parseLong(words[2])));
+            case "note" -> {
+                notedFrom = Long.parseLong(words[1]);
+                relays.forEach(relay -> relay.note(notedFrom, Integer.parseInt(words[2])));
+                yield "";
+            }
+            case "inforce" -> inForce(words);
+            case "starts" -> starts(range(words));
+            case "memory" -> memory();
+            default -> throw new IllegalArgumentException("unknown command");
+        };
+    }
+
+    private List<TimedRelay> range(String[] words) {
+        return relays.subList(Integer.parseInt(words[1]), Integer.parseInt(words[2]));
+    }
+
+    private long await(long version, long seconds) throws InterruptedException {
+        long by = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        long running = relays.stream().filter(TimedRelay::started).count();
+        long held = 0;
+        while (held < running && System.nanoTime() < by) {
+            Thread.sleep(LOOK);
+            held = relays.stream().filter(r -> r.started() && r.held() >= version).count();
+        }
+        return held;
+    }
+
+    private String inForce(String[] published) {
+        Histogram spans = new Histogram(HollowFleet.DIGITS);
+        StringJoiner last = new StringJoiner(" ");
+        for (int i = 1; i < published.length; i++) {
+            long at = Long.parseLong(published[i]);
+            long most = -1;
+            for (TimedRelay relay : relays) {
+                long inForceAt = relay.inForceAt(notedFrom + i);
+                if (relay.started() && inForceAt > 0) {
+                    spans.recordValue(Math.max(0, inForceAt - at));
+                    most = Math.max(most, inForceAt - at);
+                }
+            }
+            last.add(String.valueOf(most));
+        }
+        return HollowFleet.encode(spans) + " " + last;
+    }
+
+    private static String starts(List<TimedRelay> some) {
+        Histogram spans = new Histogram(HollowFleet.DIGITS);
+        some.stream().filter(relay -> relay.heldAt() > 0)
+            .forEach(relay -> spans.recordValue(Math.max(0, relay.heldAt() - relay.startedAt())));
+        return HollowFleet.encode(spans);
+    }
+
+    private static String memory() {
+        System.gc();
+        long heap = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+        return heap + " " + Descriptors.open();
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/ListNode.java
@@ -0,0 +1,208 @@
+package wrenkeel.scale;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One place on the list's way from its source to the relays: a control machine or an agent. It serves watches of
+ * what it has been sent, and, unless it is the source, watches the place above it. All on one event loop.
+ */
+final class ListNode implements AutoCloseable {
+    /** ms; the longest wait that the protocol allows. */
+    private static final long WAIT_MOST = 60_000;
+    private static final int REQUEST_MOST = 64 * 1024, CALLERS_MOST = 4_096;
+
+    private final EventLoop loop;
+    private final ChangeLog log;
+    private final HopCounters below;
+    private final Channel door;
+    private final ChannelGroup callers;
+    /** Those whose call is not answered yet, in the order in which they came. */
+    private final Set<Caller> waiting = new LinkedHashSet<>();
+    private UpstreamWatch upstream;
+    private volatile long version = -1;
+
+    /** Opens its door on any free port of loopback; {@code below} counts what goes over it. */
+    ListNode(EventLoop loop, ChangeLog log, HopCounters below) throws IOException {
+        this.loop = loop;
+        this.log = log;
+        this.below = below;
+        this.callers = new DefaultChannelGroup(loop);
+        this.door = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, CALLERS_MOST)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    callers.add(channel);
+                    below.connected();
+                    channel.pipeline().addLast(below.bytes(), new HttpServerCodec(),
+                        new HttpObjectAggregator(REQUEST_MOST), new Caller());
+                }
+            }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) door.localAddress();
+    }
+
+    /** The version it has been sent; -1 while it has no list. Any thread may ask. */
+    long version() {
+        return version;
+    }
+
+    /** Watches the place above from now on, with calls that wait for so many milliseconds. */
+    void follow(InetSocketAddress above, long wait) {
+        loop.execute(() -> {
+            upstream = new UpstreamWatch(loop, above, wait, version, this::arrived);
+            upstream.begin();
+        });
+    }
+
+    /** It holds the list up to this version now: at the source as published, elsewhere as sent. */
+    void advance(long next) {
+        if (loop.inEventLoop()) {
+            arrived(next);
+        } else {
+            loop.execute(() -> arrived(next));
+        }
+    }
+
+    private void arrived(long next) {
+        version = Math.max(version, next);
+        List.copyOf(waiting).forEach(Caller::answerIfDue);
+    }
+
+    /** Its machine is lost and back: connections are reset, and it holds nothing until it is sent the list anew. */
+    Future<?> restart(InetSocketAddress above, long wait) {
+        return loop.submit(() -> {
+            upstream.close();
+            List.copyOf(callers).forEach(Channel::close);
+            version = -1;
+            follow(above, wait);
+        });
+    }
+
+    @Override
+    public void close() {
+        loop.submit(() -> {
+            if (upstream != null) {
+                upstream.close();
+            }
+            List.copyOf(callers).forEach(Channel::close);
+        }).syncUninterruptibly();
+        door.close().syncUninterruptibly();
+    }
+
+    /** One connection from below. */
+    private final class Caller extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private ChannelHandlerContext context;
+        /** The version that its call asks to go on from; -1 for a whole list. */
+        private long after;
+        private Future<?> timer;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext from, FullHttpRequest request) {
+            context = from;
+            below.called();
+            QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+            if (uri.path().equals("/reports")) {
+                answer(HttpResponseStatus.NO_CONTENT, Unpooled.EMPTY_BUFFER);
+            } else if (!uri.path().equals("/v1/servers")) {
+                answer(HttpResponseStatus.NOT_FOUND, Unpooled.EMPTY_BUFFER);
+            } else {
+                after = number(uri.parameters(), "after", -1);
+                waiting.add(this);
+                answerIfDue();
+                if (after >= 0 && waiting.contains(this)) {
+                    long wait = Math.min(WAIT_MOST, number(uri.parameters(), "wait_ms", 0));
+                    timer = loop.schedule(this::answerUnchanged, wait, TimeUnit.MILLISECONDS);
+                }
+            }
+        }
+
+        private static long number(Map<String, List<String>> parameters, String name, long otherwise) {
+            List<String> values = parameters.get(name);
+            return values == null ? otherwise : Long.parseLong(values.get(0));
+        }
+
+        /** Silent while it has no list; a watch waits for something newer. */
+        private void answerIfDue() {
+            if (version >= 0 && after < version) {
+                byte[] changes = after < 0 ? null : log.changes(after, version);
+                byte[] whole = changes == null ? log.whole(version) : null;
+                if (changes != null) {
+                    answerWaiting(changes);
+                } else if (whole != null) {
+                    below.sentWhole();
+                    answerWaiting(whole);
+                }
+            }
+        }
+
+        private void answerUnchanged() {
+            byte[] none = version < 0 ? null : log.changes(version, version);
+            if (waiting.contains(this) && none != null) {
+                answerWaiting(none);
+            }
+        }
+
+        private void answerWaiting(byte[] list) {
+            stopWaiting();
+            answer(HttpResponseStatus.OK, Unpooled.wrappedBuffer(list));
+        }
+
+        private void stopWaiting() {
+            waiting.remove(this);
+            if (timer != null) {
+                timer.cancel(false);
+                timer = null;
+            }
+        }
+
+        private void answer(HttpResponseStatus status, ByteBuf body) {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+            if (status != HttpResponseStatus.NO_CONTENT) {
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            }
+            context.writeAndFlush(response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext from) {
+            stopWaiting();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext from, Throwable cause) {
+            from.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/RelaysExperiment.java
@@ -0,0 +1,83 @@
+package wrenkeel.scale;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** What a fleet of so many relays costs all the time: without a change, and while changes trickle in. */
+@Command(name = "relays", mixinStandardHelpOptions = true,
+    description = "A fleet of so many hollow relays: calls, bytes and processor time of relays, agents and the"
+        + " control machines; memory of a relay.")
+final class RelaysExperiment implements Callable<Integer> {
+    private static final int TARGET = 2_300;
+
+    @Mixin
+    private CommonOptions options;
+    @Mixin
+    private FleetOptions fleetOptions;
+    @Option(names = "--idle-seconds", defaultValue = "8", paramLabel = "N",
+        description = "How long is measured without a change (default: ${DEFAULT-VALUE}).")
+    private long idleSeconds;
+    @Option(names = "--changes", defaultValue = "16", paramLabel = "N",
+        description = "Changes of the trickle (default: ${DEFAULT-VALUE}).")
+    private int changes;
+    @Option(names = "--gap-ms", defaultValue = "500", paramLabel = "N",
+        description = "Mean gap between them; 3,100 a day are one in 27,900 ms (default: ${DEFAULT-VALUE}).")
+    private double gap;
+
+    @Override
+    public Integer call() throws Exception {
+        try (TimeLimit limit = new TimeLimit(options.mostSeconds());
+             Report report = new Report("relays", options)) {
+            for (long size : options.sizes(100L, 300L, 1_000L, 2_300L)) {
+                for (int play = 0; play < options.plays(); play++) {
+                    report.add(new Measurement("relays", size, play, options.seed(play),
+                        play((int) size, options.seed(play))));
+                }
+            }
+            report.finish(options.target(TARGET));
+        }
+        return 0;
+    }
+
+    private Map<String, Double> play(int size, long seed) throws Exception {
+        Map<String, Double> values = new LinkedHashMap<>();
+        try (Fleet fleet = new Fleet(size, seed, fleetOptions, Fleet::spread)) {
+            fleet.start();
+            // What runs for the first time is compiled before it is measured.
+            fleet.changes(changes, gap / 4);
+            fleet.awaitRelays();
+            Fleet.Spent before = fleet.spent();
+            Thread.sleep(idleSeconds * 1_000);
+            Fleet.Spent idle = fleet.spent();
+            idle.minus(before).rates("idle_", values);
+            fleet.changes(changes, gap);
+            fleet.awaitRelays();
+            Fleet.Spent trickle = fleet.spent().minus(idle);
+            perChange(trickle, idle.minus(before), values);
+            HollowFleet.Memory memory = fleet.relays().memory();
+            values.put("relays_heap_mb", memory.heapBytes() / 1e6);
+            values.put("relays_rss_mb", memory.rssBytes() / 1e6);
+            values.put("relays_descriptors", (double) memory.descriptors());
+            values.put("tool_descriptors", (double) Descriptors.open());
+            values.put("relay_processes", (double) fleet.relays().processes());
+        }
+        return values;
+    }
+
+    /** What one change adds to what was spent without any. */
+    private void perChange(Fleet.Spent trickle, Fleet.Spent idle, Map<String, Double> values) {
+        double share = (double) trickle.at() / idle.at();
+        values.put("change_source_bytes", (trickle.source().bytes() - share * idle.source().bytes()) / changes);
+        values.put("change_machine_bytes",
+            (trickle.machine().bytes() - share * idle.machine().bytes()) / changes);
+        values.put("change_agent_bytes", (trickle.agent().bytes() - share * idle.agent().bytes()) / changes);
+        values.put("change_machines_cpu_ms",
+            (trickle.machinesCpu() - share * idle.machinesCpu()) / changes / 1e3);
+        values.put("change_agents_cpu_ms", (trickle.agentsCpu() - share * idle.agentsCpu()) / changes / 1e3);
+        values.put("change_relays_cpu_ms", (trickle.relaysCpu() - share * idle.relaysCpu()) / changes / 1e3);
+    }
+}
--- a/src/main/java/wrenkeel/scale/ScaleCommand.java
+++ b/src/main/java/wrenkeel/scale/ScaleCommand.java
@@ -8,6 +8,9 @@
     description = "Measures how cost grows with size, on loopback only, bounded in time, connections and memory.",
     subcommands = {
         ListExperiment.class,
+        ChangeExperiment.class,
+        RelaysExperiment.class,
+        RestartExperiment.class,
     })
 public final class ScaleCommand {
     private ScaleCommand() { }
--- /dev/null
+++ b/src/test/java/wrenkeel/net/HollowRelayTest.java
@@ -0,0 +1,95 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+import static wrenkeel.net.Platform.host;
+import static wrenkeel.net.Platform.list;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class HollowRelayTest {
+    @TempDir
+    Path folder;
+    private final BlockingQueue<Long> inForce = new LinkedBlockingQueue<>();
+    private final MultiThreadIoEventLoopGroup threads = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private Platform platform;
+
+    @BeforeEach
+    void begin() throws Exception {
+        platform = new Platform(folder);
+        platform.config();
+    }
+
+    @AfterEach
+    void end() {
+        threads.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        platform.close();
+    }
+
+    private HollowRelay relay() {
+        return new HollowRelay(threads.next(), platform.env(), inForce::add);
+    }
+
+    /** Waits for a version; those before it may come too. */
+    private void awaitInForce(long version) throws InterruptedException {
+        Long next;
+        do {
+            next = inForce.poll(Platform.PATIENCE_S, TimeUnit.SECONDS);
+            assertNotNull(next, "version " + version + " never in force");
+        } while (next < version);
+        assertEquals(version, next);
+    }
+
+    private void answerAtOnce(String list) {
+        platform.atOnce.clear();
+        platform.atOnce.add(list);
+    }
+
+    @Test
+    void aListAndThenItsChangeComeIntoForce() throws Exception {
+        answerAtOnce(list(41, true, host("s-1", 9, 7, "ready")));
+        HollowRelay relay = relay();
+        relay.start().get();
+        awaitInForce(41);
+        platform.changes.add(list(43, false, host("s-1", 9, 7, "draining")));
+        awaitInForce(43);
+        assertEquals(43, relay.version());
+    }
+
+    @Test
+    void afterItsEndAnotherOneBeginsInItsFolderWithNothing() throws Exception {
+        answerAtOnce(list(41, true));
+        HollowRelay first = relay();
+        first.start().get();
+        awaitInForce(41);
+        first.stop().get();
+        platform.asked.clear();
+        HollowRelay second = relay();
+        second.start().get();
+        awaitInForce(41);
+        assertTrue(platform.asked.contains("after=1&wait_ms=1"), "it goes on from its configuration's list");
+        assertEquals("journal.2", Platform.journal(folder.resolve("state")).getFileName().toString());
+        assertFalse(Files.exists(folder.resolve("state/journal.1")), "taken over, so that the folder cannot fill");
+    }
+
+    @Test
+    void aReloadIsTakenWholeOrNotAtAll() throws Exception {
+        HollowRelay relay = relay();
+        relay.start().get();
+        relay.reload().get();
+        Files.writeString(folder.resolve("config.json"), "{");
+        assertThrows(ExecutionException.class, () -> relay.reload().get());
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/scale/FleetTest.java
@@ -0,0 +1,84 @@
+package wrenkeel.scale;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+import wrenkeel.Wire;
+
+/** A few hollow relays in processes of their own: what a play is put together from works as a whole. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class FleetTest {
+    @TempDir
+    Path folder;
+
+    private static FleetOptions options(String... args) {
+        FleetOptions options = new FleetOptions();
+        new CommandLine(options).parseArgs(args);
+        return options;
+    }
+
+    @Test
+    void everyChangeIsNotedAtEveryRelay() throws Exception {
+        try (Fleet fleet = new Fleet(5, 1, options("--hosts", "30", "--relays-a-process", "3"), Fleet::spread)) {
+            fleet.start();
+            assertEquals(2, fleet.relays().processes());
+            fleet.relays().note(fleet.version(), 4);
+            List<Long> publishedAt = fleet.changes(4, 1);
+            fleet.awaitRelays();
+            HollowFleet.InForce inForce = fleet.relays().inForce(publishedAt);
+            assertEquals(5 * 4, inForce.spans().getTotalCount());
+            assertEquals(4, inForce.last().size());
+            assertEquals(5, fleet.agents().hop().wholeLists());
+            assertEquals(5, fleet.machines().machineHop().wholeLists());
+            assertEquals(6, fleet.machines().sourceHop().wholeLists(), "the second head and five zones");
+        }
+    }
+
+    @Test
+    void aZoneThatIsBackAsksForEachListOnce() throws Exception {
+        try (Fleet fleet = new Fleet(4, 1, options("--hosts", "30", "--relays-a-process", "2"), relay -> 0)) {
+            fleet.start();
+            HopCounters.Counts before = fleet.machines().machineHop();
+            fleet.relays().stop(0, 4);
+            fleet.machines().restartZone(0);
+            for (int agent = 0; agent < 4; agent++) {
+                fleet.agents().restart(agent).syncUninterruptibly();
+            }
+            fleet.relays().start(0, 4);
+            fleet.awaitRelays();
+            assertEquals(4, fleet.relays().starts(0, 4).getTotalCount());
+            assertTrue(fleet.machines().machineHop().minus(before).wholeLists() >= 4);
+        }
+    }
+
+    @Test
+    void theChangeExperimentGivesOneLineAPlayAndOneAValue() throws Exception {
+        Path out = folder.resolve("change.jsonl");
+        assertEquals(0, ScaleCommand.run(new String[] {"change", "--sizes", "1,2,3,4", "--plays", "1", "--hosts", "20",
+            "--day-changes", "2", "--day-gap-ms", "1", "--burst-changes", "2", "--out", out.toString()}));
+        List<String> kinds = new ArrayList<>();
+        for (String line : Files.readAllLines(out)) {
+            kinds.add(Wire.decode(line).text("kind"));
+        }
+        assertEquals(4, kinds.stream().filter("play"::equals).count());
+        assertTrue(kinds.stream().filter("line"::equals).count() > 10);
+        assertEquals("end", kinds.get(kinds.size() - 1));
+    }
+
+    @Test
+    void aHistogramCrossesBetweenProcesses() throws Exception {
+        Histogram spans = new Histogram(HollowFleet.DIGITS);
+        spans.recordValue(1_234);
+        spans.recordValue(56_000_000);
+        assertEquals(spans, HollowFleet.decode(HollowFleet.encode(spans)));
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/scale/ListNodeTest.java
@@ -0,0 +1,129 @@
+package wrenkeel.scale;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import wrenkeel.Wire;
+
+@Timeout(value = 20, unit = TimeUnit.SECONDS)
+class ListNodeTest {
+    private static final long WAIT = 60_000;
+    private final MultiThreadIoEventLoopGroup threads = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final ChangeLog log = new ChangeLog(new HostCatalog(20, 1), 2);
+    private final HopCounters sourceHop = new HopCounters();
+    private final HopCounters agentHop = new HopCounters();
+    private final long first = log.latest();
+    private ListNode source;
+    private ListNode agent;
+
+    @BeforeEach
+    void begin() throws IOException {
+        source = new ListNode(threads.next(), log, sourceHop);
+        agent = new ListNode(threads.next(), log, agentHop);
+    }
+
+    @AfterEach
+    void end() {
+        agent.close();
+        source.close();
+        Shutdown.now(threads);
+    }
+
+    private CompletableFuture<Wire.Fields> ask(String query) {
+        URI uri = URI.create("http://127.0.0.1:" + agent.address().getPort() + "/v1/servers" + query);
+        return client.sendAsync(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString())
+            .thenApply(answer -> {
+                try {
+                    assertEquals(200, answer.statusCode());
+                    return Wire.decode(answer.body());
+                } catch (Wire.Malformed e) {
+                    throw new AssertionError(e);
+                }
+            });
+    }
+
+    private void publish(int host) {
+        source.advance(log.publish(host, HostCatalog.Health.DRAINING));
+    }
+
+    /** Until a call with this number in all has come in. */
+    private static void awaitCalls(HopCounters hop, long calls) throws InterruptedException {
+        await(() -> hop.read().calls() >= calls);
+    }
+
+    private static void await(BooleanSupplier done) throws InterruptedException {
+        while (!done.getAsBoolean()) {
+            // Hears the class's time limit.
+            Thread.sleep(1);
+        }
+    }
+
+    @Test
+    void whoHasNoListIsSilentUntilItIsSentOne() throws Exception {
+        CompletableFuture<Wire.Fields> whole = ask("");
+        awaitCalls(agentHop, 1);
+        assertFalse(whole.isDone());
+        agent.follow(source.address(), WAIT);
+        awaitCalls(sourceHop, 1);
+        assertEquals(-1, agent.version());
+        source.advance(first);
+        assertTrue(whole.get().flag("whole"));
+        assertEquals(20, whole.get().objects("hosts").size());
+        assertEquals(1, sourceHop.read().wholeLists());
+        assertEquals(1, agentHop.read().wholeLists());
+        assertTrue(sourceHop.read().bytesOut() > 20 * 100);
+    }
+
+    @Test
+    void aWatchIsAnsweredByTheNextChangeOfWhatItsNodeWasSent() throws Exception {
+        source.advance(first);
+        agent.follow(source.address(), WAIT);
+        ask("").get();
+        CompletableFuture<Wire.Fields> watch = ask("?after=" + first + "&wait_ms=" + WAIT);
+        awaitCalls(agentHop, 2);
+        // Published, but not yet told to the source: nobody has been sent it.
+        long second = log.publish(3, HostCatalog.Health.DRAINING);
+        assertEquals(0, ask("?after=" + first + "&wait_ms=1").get().objects("hosts").size());
+        assertFalse(watch.isDone());
+        source.advance(second);
+        assertEquals(second, watch.get().whole("seq"));
+        assertEquals("draining", watch.get().objects("hosts").get(0).text("health"));
+        assertEquals(1, agentHop.read().wholeLists());
+    }
+
+    @Test
+    void whoIsFurtherBehindThanTheLogGetsTheWholeList() throws Exception {
+        source.advance(first);
+        agent.follow(source.address(), WAIT);
+        for (int host = 0; host < 3; host++) {
+            publish(host);
+        }
+        await(() -> agent.version() == log.latest());
+        assertTrue(ask("?after=" + first + "&wait_ms=1").get().flag("whole"));
+    }
+
+    @Test
+    void aRestartedNodeAsksForTheWholeListAnew() throws Exception {
+        source.advance(first);
+        agent.follow(source.address(), WAIT);
+        ask("").get();
+        agent.restart(source.address(), WAIT).get();
+        assertEquals(first, ask("").get().whole("seq"));
+        assertEquals(2, sourceHop.read().wholeLists());
+        assertEquals(2, sourceHop.read().connections());
+    }
+}
