--- a/src/main/java/wrenkeel/scale/RelayProcess.java
+++ b/src/main/java/wrenkeel/scale/RelayProcess.java
@@ -19,13 +19,15 @@
 import wrenkeel.Wire;
 
 /**
- * One real relay, started by {@code run} of the deploy file under the limits that stand there, with a temporary folder
- * of its own that is deleted at the end. At most one process at a time; it dies with this JVM. Not for several threads.
+ * One real relay, started by {@code run} of the deploy file under the limits that stand there, with a
+ * temporary folder of its own that is deleted at the end. At most one process at a time; it dies with this
+ * JVM. Not for several threads.
  */
 final class RelayProcess implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"");
-    private static final Pattern SERVING = Pattern.compile("serving on \\S*?:(\\d+)"),
-        CONSOLE = Pattern.compile("operators at \\S*?:(\\d+)");
+    /** With what follows the port: a line may be half written. */
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?:(\\d+)\\D"),
+        CONSOLE = Pattern.compile("operators at \\S*?:(\\d+)\\D");
     private static final Duration LOOK = Duration.ofMillis(5);
     private static final int CALL_PATIENCE = 2_000;
 
@@ -33,7 +35,7 @@
     private final Path folder;
     private final RelaySettings settings;
     private final InetSocketAddress agent;
-    private final Thread atExit = new Thread(this::end, "end of a relay");
+    private final Thread atExit = new Thread(this::remove, "end of a relay");
     private Process process;
     private ProcessStats stats;
     private int starts;
@@ -46,7 +48,8 @@
      * @param root the repository's root, built
      * @param known the list that the configuration holds, in discovery's form; null for none
      */
-    RelayProcess(Path root, RelaySettings settings, InetSocketAddress agent, byte[] known) throws IOException {
+    RelayProcess(Path root, RelaySettings settings, InetSocketAddress agent, byte[] known)
+        throws IOException {
         this.root = root;
         this.settings = settings;
         this.agent = agent;
@@ -57,7 +60,9 @@
         Runtime.getRuntime().addShutdownHook(atExit);
     }
 
-    /** Starts the process, or one more after the last has ended; the lasting folder is kept. Does not wait. */
+    /**
+     * Starts the process, or one more after the last has ended; the lasting folder is kept. Does not wait.
+     */
     void start() throws IOException {
         if (process != null && process.isAlive()) {
             throw new IllegalStateException("process " + process.pid() + " runs");
@@ -122,7 +127,8 @@
         return console != null;
     }
 
-    private InetSocketAddress awaitAddress(Pattern pattern, Duration atMost) throws IOException, InterruptedException {
+    private InetSocketAddress awaitAddress(Pattern pattern, Duration atMost)
+        throws IOException, InterruptedException {
         long by = System.nanoTime() + atMost.toNanos();
         while (true) {
             boolean ended = !process.isAlive();
@@ -153,10 +159,7 @@
 
     /** The figures of the console. */
     Wire.Fields telemetry() throws IOException {
-        HttpURLConnection call = (HttpURLConnection) URI.create("http://" + RelayConfig.text(console)
-            + "/api/telemetry").toURL().openConnection();
-        call.setConnectTimeout(CALL_PATIENCE);
-        call.setReadTimeout(CALL_PATIENCE);
+        HttpURLConnection call = call("telemetry");
         try (InputStream answer = call.getInputStream()) {
             return Wire.decode(new String(answer.readAllBytes(), StandardCharsets.UTF_8));
         } finally {
@@ -164,24 +167,49 @@
         }
     }
 
+    /** True if the console says that it serves. */
+    boolean ready() throws IOException {
+        HttpURLConnection call = call("ready");
+        try {
+            return call.getResponseCode() == HttpURLConnection.HTTP_OK;
+        } finally {
+            call.disconnect();
+        }
+    }
+
+    private HttpURLConnection call(String name) throws IOException {
+        URI uri = URI.create("http://" + RelayConfig.text(console) + "/api/" + name);
+        HttpURLConnection call = (HttpURLConnection) uri.toURL().openConnection();
+        call.setConnectTimeout(CALL_PATIENCE);
+        call.setReadTimeout(CALL_PATIENCE);
+        return call;
+    }
+
     /** How many hosts the list that it holds names. */
     long members() throws IOException {
         return telemetry().whole("members");
     }
 
-    /** Waits until the list that it holds names so many hosts; false where it does not in time. */
-    boolean awaitMembers(long hosts, Duration atMost, Duration look) throws IOException, InterruptedException {
+    /**
+     * Waits until the list that it holds names so many hosts; false where it does not in time, or ends. One
+     * that is too busy to answer its operators is asked again.
+     */
+    boolean awaitMembers(long hosts, Duration atMost, Duration look)
+        throws IOException, InterruptedException {
         long by = System.nanoTime() + atMost.toNanos();
-        if (!awaitConsole(atMost)) {
-            return false;
-        }
-        while (members() != hosts) {
-            if (System.nanoTime() > by) {
-                return false;
+        while (alive() && System.nanoTime() < by) {
+            try {
+                if (awaitConsole(Duration.ofNanos(by - System.nanoTime())) && members() == hosts) {
+                    return true;
+                }
+            } catch (IOException e) {
+                if (!alive()) {
+                    System.err.println(settings.name() + ": " + e.getMessage());
+                }
             }
             Thread.sleep(look.toMillis());
         }
-        return true;
+        return false;
     }
 
     /** Processor time of the process since its start, us. */
@@ -218,30 +246,29 @@
         new ProcessBuilder("kill", "-HUP", Long.toString(pid())).start().waitFor();
     }
 
-    private void end() {
-        if (process != null) {
-            process.destroyForcibly();
-        }
-    }
-
     /** Ends the process and deletes its folder. */
     @Override
-    public void close() throws IOException {
-        end();
+    public void close() {
         Runtime.getRuntime().removeShutdownHook(atExit);
+        remove();
+    }
+
+    private void remove() {
         try {
             if (process != null) {
-                process.waitFor();
+                kill();
+            }
+            List<Path> left;
+            try (Stream<Path> all = Files.walk(folder)) {
+                left = all.sorted(Comparator.reverseOrder()).toList();
             }
+            for (Path path : left) {
+                Files.delete(path);
+            }
+        } catch (IOException e) {
+            System.err.println("left behind: " + folder + ": " + e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        List<Path> left;
-        try (Stream<Path> all = Files.walk(folder)) {
-            left = all.sorted(Comparator.reverseOrder()).toList();
-        }
-        for (Path path : left) {
-            Files.delete(path);
-        }
     }
 }
--- a/src/main/java/wrenkeel/scale/StandInAgent.java
+++ b/src/main/java/wrenkeel/scale/StandInAgent.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpChunkedInput;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -21,6 +22,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.stream.ChunkedStream;
@@ -44,12 +46,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The platform's agent, played on a free port of loopback: gives a catalog's list whole or as a watch, and takes
- * notices. It has one thread. Counts, which any thread may read, begin with the agent.
+ * The platform's agent, played on a free port of loopback: gives a catalog's list whole or as a watch, and
+ * takes notices. It has one thread. Counts, which any thread may read, begin with the agent.
  */
 final class StandInAgent implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(StandInAgent.class);
-    /** Connections at once, those of a fleet behind one agent; bytes of one call; ms that a watch may wait. */
+    /**
+     * Connections at once, those of a fleet behind one agent; bytes of one call; ms that a watch may wait.
+     */
     private static final int CONNECTIONS_MOST = 4_096, CALL_MOST = 1 << 20, WAIT_MOST = 60_000;
     private static final int CHUNK = 1 << 16;
     /** Versions whose times are kept. */
@@ -61,7 +65,8 @@
     /** A call that waits for something newer than a version. */
     private record Waiting(ChannelHandlerContext context, long after) { }
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop thread = group.next();
     private final HostCatalog catalog;
     private final Consumer<String> whenNoticed;
@@ -104,7 +109,8 @@
                     }
                     channel.closeFuture().addListener(closed -> connections.decrementAndGet());
                     channel.pipeline().addLast(new ByteCounter(bytesIn, bytesOut), new HttpServerCodec(),
-                        new HttpObjectAggregator(CALL_MOST), new ChunkedWriteHandler(), new Calls());
+                        new HttpServerKeepAliveHandler(), new HttpObjectAggregator(CALL_MOST),
+                        new ChunkedWriteHandler(), new Calls());
                 }
             }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
     }
@@ -212,8 +218,10 @@
         send(context, catalog.since(after), whole);
         long now = System.nanoTime();
         synchronized (times) {
-            times.replaceAll((version, t) -> version > after && t.sentNanos == 0
-                ? new Times(t.madeNanos, now, t.heldNanos) : t);
+            for (long version = catalog.version(); version > after && times.containsKey(version); version--) {
+                times.computeIfPresent(version, (v, t) -> t.sentNanos == 0
+                    ? new Times(t.madeNanos, now, t.heldNanos) : t);
+            }
         }
     }
 
@@ -221,8 +229,9 @@
         long now = System.nanoTime();
         synchronized (times) {
             if (version > held) {
-                times.replaceAll((v, t) -> v <= version && t.heldNanos == 0
-                    ? new Times(t.madeNanos, t.sentNanos, now) : t);
+                for (long v = version; v > held && times.containsKey(v); v--) {
+                    times.computeIfPresent(v, (same, t) -> new Times(t.madeNanos, t.sentNanos, now));
+                }
                 held = version;
                 times.notifyAll();
             }
@@ -241,7 +250,8 @@
     }
 
     private static void status(ChannelHandlerContext context, HttpResponseStatus status) {
-        DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+            Unpooled.EMPTY_BUFFER);
         if (!status.equals(HttpResponseStatus.NO_CONTENT)) {
             answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         }
@@ -280,7 +290,8 @@
                 return;
             }
             Waiting call = new Waiting(context, after);
-            waiting.put(call, thread.schedule(() -> answer(call), Math.min(wait, WAIT_MOST), TimeUnit.MILLISECONDS));
+            waiting.put(call, thread.schedule(() -> answer(call), Math.min(wait, WAIT_MOST),
+                TimeUnit.MILLISECONDS));
         }
 
         private static long number(QueryStringDecoder uri, String name, long absent) {
