--- a/src/main/java/wrenkeel/scale/ChangeExperiment.java
+++ b/src/main/java/wrenkeel/scale/ChangeExperiment.java
@@ -1,5 +1,6 @@
 package wrenkeel.scale;
 
+import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +15,8 @@
     description = "A fleet of so many hollow relays: time from a change at the source until it is in force, at a"
         + " day's pace (a sample, with shorter gaps) and at 1,000 a minute.")
 final class ChangeExperiment implements Callable<Integer> {
-    private static final int TARGET = 2_300;
+    private static final List<Long> SIZES = List.of(100L, 300L, 1_000L, 2_300L);
+    private static final long TARGET = 2_300;
     /** ms between changes where 1,000 come in a minute. */
     private static final double BURST_GAP = 60;
 
@@ -34,20 +36,10 @@
 
     @Override
     public Integer call() throws Exception {
-        try (TimeLimit limit = new TimeLimit(options.mostSeconds());
-             Report report = new Report("change", options)) {
-            for (long size : options.sizes(100L, 300L, 1_000L, 2_300L)) {
-                for (int play = 0; play < options.plays(); play++) {
-                    report.add(new Measurement("change", size, play, options.seed(play),
-                        play((int) size, options.seed(play))));
-                }
-            }
-            report.finish(options.target(TARGET));
-        }
-        return 0;
+        return FleetPlays.run("change", options, SIZES, TARGET, this::play);
     }
 
-    private Map<String, Double> play(int size, long seed) throws Exception {
+    private Map<String, Double> play(int size, long seed) throws IOException, InterruptedException {
         Map<String, Double> values = new LinkedHashMap<>();
         try (Fleet fleet = new Fleet(size, seed, fleetOptions, Fleet::spread)) {
             fleet.start();
@@ -61,7 +53,7 @@
     }
 
     private static void measure(Fleet fleet, int size, String prefix, int changes, double gap,
-                                Map<String, Double> values) throws Exception {
+                                Map<String, Double> values) throws IOException, InterruptedException {
         fleet.relays().note(fleet.version(), changes);
         Fleet.Spent before = fleet.spent();
         List<Long> publishedAt = fleet.changes(changes, gap);
--- a/src/main/java/wrenkeel/scale/RelaysExperiment.java
+++ b/src/main/java/wrenkeel/scale/RelaysExperiment.java
@@ -1,6 +1,8 @@
 package wrenkeel.scale;
 
+import java.io.IOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -12,7 +14,8 @@
     description = "A fleet of so many hollow relays: calls, bytes and processor time of relays, agents and the"
         + " control machines; memory of a relay.")
 final class RelaysExperiment implements Callable<Integer> {
-    private static final int TARGET = 2_300;
+    private static final List<Long> SIZES = List.of(100L, 300L, 1_000L, 2_300L);
+    private static final long TARGET = 2_300;
 
     @Mixin
     private CommonOptions options;
@@ -30,20 +33,10 @@
 
     @Override
     public Integer call() throws Exception {
-        try (TimeLimit limit = new TimeLimit(options.mostSeconds());
-             Report report = new Report("relays", options)) {
-            for (long size : options.sizes(100L, 300L, 1_000L, 2_300L)) {
-                for (int play = 0; play < options.plays(); play++) {
-                    report.add(new Measurement("relays", size, play, options.seed(play),
-                        play((int) size, options.seed(play))));
-                }
-            }
-            report.finish(options.target(TARGET));
-        }
-        return 0;
+        return FleetPlays.run("relays", options, SIZES, TARGET, this::play);
     }
 
-    private Map<String, Double> play(int size, long seed) throws Exception {
+    private Map<String, Double> play(int size, long seed) throws IOException, InterruptedException {
         Map<String, Double> values = new LinkedHashMap<>();
         try (Fleet fleet = new Fleet(size, seed, fleetOptions, Fleet::spread)) {
             fleet.start();
--- a/src/main/java/wrenkeel/scale/RestartExperiment.java
+++ b/src/main/java/wrenkeel/scale/RestartExperiment.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import org.HdrHistogram.Histogram;
@@ -14,7 +15,8 @@
     description = "A zone of so many hollow relays: single relays restarted, single machines replaced (the agent"
         + " starts empty too), then the zone back at once with its control machine: whole lists, bytes, time.")
 final class RestartExperiment implements Callable<Integer> {
-    private static final int TARGET = 460;
+    private static final List<Long> SIZES = List.of(50L, 150L, 300L, 460L);
+    private static final long TARGET = 460;
     /** ms; so long the fleet is left alone first, so that its watches can be taken off. One wait of a relay. */
     private static final long IDLE = 4_000;
 
@@ -28,20 +30,10 @@
 
     @Override
     public Integer call() throws Exception {
-        try (TimeLimit limit = new TimeLimit(options.mostSeconds());
-             Report report = new Report("restart", options)) {
-            for (long size : options.sizes(50L, 150L, 300L, 460L)) {
-                for (int play = 0; play < options.plays(); play++) {
-                    report.add(new Measurement("restart", size, play, options.seed(play),
-                        play((int) size, options.seed(play))));
-                }
-            }
-            report.finish(options.target(TARGET));
-        }
-        return 0;
+        return FleetPlays.run("restart", options, SIZES, TARGET, this::play);
     }
 
-    private Map<String, Double> play(int size, long seed) throws Exception {
+    private Map<String, Double> play(int size, long seed) throws IOException, InterruptedException {
         Map<String, Double> values = new LinkedHashMap<>();
         try (Fleet fleet = new Fleet(size, seed, fleetOptions, relay -> 0)) {
             fleet.start();
@@ -81,7 +73,7 @@
     }
 
     /** The zone's control machine, its agents and its relays lose power, and are back at one moment. */
-    private static void zone(Fleet fleet, int size, Map<String, Double> values) throws Exception {
+    private static void zone(Fleet fleet, int size, Map<String, Double> values) throws IOException {
         fleet.relays().stop(0, size);
         Fleet.Spent before = fleet.spent();
         try (PeakRates peaks = new PeakRates(fleet)) {
