--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -103,6 +103,10 @@
     private static final long LIST_WAIT = SECOND;
     /** us; an endpoint off the list is forgotten after this: past any wait or warm-up. */
     private static final long FORGET = 600 * SECOND;
+    /** us; a destination stays known for so long after its last use, or past any warm-up and window. */
+    private static final long OF_USE = 60 * SECOND;
+    /** Destinations known at once beyond which only warm-ups and windows keep a quiet one. */
+    private static final int KNOWN_MOST = 4_096;
     /** Log lines at most: operators keep only the first few hundred. */
     private static final int LOG_LINES = 100;
 
@@ -116,6 +120,10 @@
     private final Map<Long, Dest> dests = new TreeMap<>();
     private final Map<Long, Route> routes = new TreeMap<>();
     private final Set<Dest> active = new LinkedHashSet<>();
+    /** All destinations, the one used last at the end. */
+    private final Set<Dest> used = new LinkedHashSet<>();
+    /** Of destinations released before their pace allowed another call: when it does. */
+    private final Map<Long, Long> spent = new LinkedHashMap<>();
     private Bucket[] shares;
     /** us, by kind: how long idle connections are held (endpoints may take few), and trusted to be alive. */
     private final double[] holds, trusts;
@@ -123,8 +131,8 @@
     private final PriorityQueue<Entry> agenda = new PriorityQueue<>();
     private List<Action> out = new ArrayList<>();
     private long now, beganAt, seq, turns, wakeAt = NEVER, listBy = Long.MIN_VALUE;
-    private int slotsUsed, elsewhere, open, logged;
-    private boolean leaving;
+    private int slotsUsed, elsewhere, open, logged, avoided;
+    private boolean leaving, releasing;
 
     /** A relay that knows nothing yet but its settings. */
     public Control(long seed, Settings settings) {
@@ -158,18 +166,18 @@
         }
         runAgenda();
         dispatch();
+        if (releasing) {
+            // Only now: a message of this very turn may be a destination's first for long.
+            releasing = false;
+            release();
+        }
         arm();
         return out;
     }
 
-    /** How many listed endpoints are avoided now: draining, or out; a pause for a limit does not count. */
+    /** How many endpoints that the list calls ready are out; a pause for a limit does not count. */
     public int unavailable() {
-        int count = 0;
-        for (Route r : routes.values()) {
-            boolean listed = r.dest.routes.get(r.id) == r;
-            count += listed && (!r.ready || r.health == Health.OUT && r.confirmed) ? 1 : 0;
-        }
-        return count;
+        return avoided;
     }
 
     private void take(Event event) {
@@ -179,6 +187,10 @@
             attemptEnded(e);
         } else if (event instanceof Listed e) {
             listed(e);
+        } else if (event instanceof Introduced e) {
+            e.endpoints().forEach(p -> listed(p, true));
+        } else if (event instanceof Release) {
+            releasing = true;
         } else if (event instanceof Retuned e) {
             retune(e.settings());
         } else if (event instanceof ListAsked) {
@@ -189,9 +201,10 @@
         } else if (event instanceof Known e) {
             known(e);
         } else if (event instanceof Elsewhere e) {
-            elsewhere += e.calls() - dest(e.destination()).elsewhere;
-            dest(e.destination()).elsewhere = e.calls();
-            active.add(dest(e.destination()));
+            Dest d = dest(e.destination());
+            elsewhere += e.calls() - d.elsewhere;
+            d.elsewhere = e.calls();
+            active.add(d);
         } else if (event instanceof Withdrawn e && messages.containsKey(e.id())) {
             close(messages.get(e.id()));
         } else if (event instanceof Due && wakeAt <= now) {
@@ -224,6 +237,7 @@
         m.cls = set.classes().get(e.messageClass());
         m.halving = set.halvingLate();
         m.dest = dest(e.destination());
+        m.dest.held++;
         m.dest.mark(now, RATE_SPAN, Math.max(RATE_AGE, now - beganAt));
         m.deadline = e.deadline();
         m.aim = m.deadline - m.cls.life() + m.cls.aim();
@@ -286,13 +300,12 @@
         m.queued = true;
         m.dest.waiting++;
         active.add(m.dest);
-        Band band = m.dest.bands[m.band];
         if (m.owed) {
             m.dest.owe(m);
         } else if (again) {
-            band.fresh.addFirst(m);
+            m.dest.band(m.band).fresh.addFirst(m);
         } else {
-            band.fresh.addLast(m);
+            m.dest.band(m.band).fresh.addLast(m);
         }
     }
 
@@ -344,7 +357,7 @@
         if (!m.ended || m.open > 0) {
             return;
         }
-        messages.remove(m.id);
+        m.dest.held -= messages.remove(m.id) == null ? 0 : 1;
         if (m.key != null) {
             advance(m.key);
         }
@@ -402,6 +415,7 @@
 
     private void free(Attempt a) {
         Route r = a.route;
+        touch(r.dest);
         r.inflight--;
         if (--a.call.open == 0) {
             slotsUsed--;
@@ -439,6 +453,9 @@
             }
             double wait = d.waiting / d.window * Math.max(d.latest, FIRST_DELAY);
             for (Band band : d.bands) {
+                if (band == null) {
+                    continue;
+                }
                 Msg m = Band.first(band.late) != null ? Band.first(band.late) : Band.last(band.fresh);
                 double left = m != null && mayRefuse(m) ? m.worth(now + (long) wait) : least;
                 if (left < least) {
@@ -521,6 +538,9 @@
 
     /** Inside the aim the oldest goes first; past it the newest, which has most worth left. */
     private Msg head(Band band) {
+        if (band == null) {
+            return null;
+        }
         for (Msg m = Band.first(band.fresh); m != null; m = Band.first(band.fresh)) {
             if (now + (long) m.dest.latest <= m.aim) {
                 return m;
@@ -614,7 +634,7 @@
         if (m.queued) {
             m.queued = false;
             m.dest.waiting--;
-            m.dest.bands[m.band].remove(m);
+            m.dest.band(m.band).remove(m);
         }
         m.owed = false;
         out.add(new Send(m.id, r.id, patience(m)));
@@ -788,7 +808,7 @@
         Lane lane = r.lane;
         if (set.weights() == Weights.NONE && lane.met == 0) {
             int bundle = set.kinds().get(r.kind).bundle();
-            double start = (bundle > 1 ? START_BUNDLES : START_TOGETHER) / set.relays();
+            double start = startPace(r.kind);
             double seen = Math.max(r.dest.usualRate / bundle, lane.rate(now, PACE_SPAN, PACE_SPAN));
             // After a restart all relays hold what came in meanwhile: that is no rate to begin with.
             double bound = start * Math.pow(PACE_AHEAD, (double) lane.age(now) / SECOND);
@@ -867,6 +887,7 @@
                 log(r, "answers again, held to the return budget");
             }
         }
+        note(r);
     }
 
     /** A failed call counts only while no call sent after it has been answered, or once failures prevail. */
@@ -897,6 +918,7 @@
         r.health = Health.OUT;
         if (confirmed && !r.confirmed) {
             r.confirmed = true;
+            note(r);
             log(r, "fails or refuses, trials only");
             // Routes of a destination mostly fail together: those not heard from must answer a trial.
             for (Route other : r.dest.routes.values()) {
@@ -966,6 +988,14 @@
         }
     }
 
+    /** Keeps the count of those that are ready by the list and out. */
+    private void note(Route r) {
+        boolean listed = r.dest.routes.get(r.id) == r;
+        boolean avoid = listed && r.ready && r.health == Health.OUT && r.confirmed;
+        avoided += avoid == r.avoided ? 0 : avoid ? 1 : -1;
+        r.avoided = avoid;
+    }
+
     private void log(Route r, String what) {
         if (logged++ < LOG_LINES) {
             out.add(new Log("endpoint " + r.id + ": " + what));
@@ -1006,35 +1036,63 @@
 
     // ---- List of endpoints ----------------------------------------------------------------------
     private Dest dest(long id) {
-        return dests.computeIfAbsent(id, k -> new Dest(set.classes().size() * 3, ANSWERS));
+        Dest d = dests.computeIfAbsent(id, k -> new Dest(k, set.classes().size() * 3, ANSWERS));
+        touch(d);
+        return d;
+    }
+
+    /** It is of use now, and stands last among those that may be released. */
+    private void touch(Dest d) {
+        d.usedAt = now;
+        used.remove(d);
+        used.add(d);
     }
 
     private void listed(Listed e) {
-        listBy = Long.MIN_VALUE;
-        active.addAll(dests.values());
+        if (listBy != Long.MIN_VALUE) {
+            listBy = Long.MIN_VALUE;
+            dests.values().stream().filter(d -> d.waiting > 0).forEach(active::add);
+        }
         Set<Long> named = new HashSet<>();
         for (Endpoint p : e.endpoints()) {
             named.add(p.id());
-            Route r = routes.get(p.id());
-            if (p.listing() != Listing.GONE) {
-                r = r == null ? add(p) : r;
-                r.dest.routes.put(r.id, r);
-                r.ready = p.listing() == Listing.READY;
-                r.lane.weight = p.weight() > 0 ? p.weight() : r.lane.weight;
-                if (set.weights() != Weights.NONE) {
-                    r.lane.pace = Math.min(r.lane.pace, paceMost(r.lane));
-                }
-                active.add(r.dest);
-            } else if (r != null) {
-                remove(r);
-            }
+            listed(p, false);
         }
         if (e.kind() == ListKind.WHOLE) {
             routes.values().stream().filter(r -> !named.contains(r.id)).forEach(this::remove);
         }
     }
 
-    private Route add(Endpoint p) {
+    /** {@code known}: the list may have named it for long, only the module has not heard. */
+    private void listed(Endpoint p, boolean known) {
+        Route r = routes.get(p.id());
+        if (r != null && p.listing() != Listing.GONE && r.dest.id != p.destination()) {
+            remove(r);
+            routes.remove(r.id);
+            Route moved = add(p, false);
+            // A wait binds the endpoint wherever it stands.
+            moved.backoffUntil = r.lane.waitUntil;
+            r = moved;
+        }
+        if (p.listing() != Listing.GONE) {
+            r = r == null ? add(p, known) : r;
+            if (r.dest.routes.put(r.id, r) == null && r.goneAt >= 0) {
+                r.goneAt = -1;
+                r.dest.gone--;
+            }
+            r.ready = p.listing() == Listing.READY;
+            note(r);
+            r.lane.weight = p.weight() > 0 ? p.weight() : r.lane.weight;
+            if (set.weights() != Weights.NONE) {
+                r.lane.pace = Math.min(r.lane.pace, paceMost(r.lane));
+            }
+            active.add(r.dest);
+        } else if (r != null) {
+            remove(r);
+        }
+    }
+
+    private Route add(Endpoint p, boolean known) {
         Route r = new Route();
         r.id = p.id();
         r.zone = p.zone();
@@ -1049,7 +1107,8 @@
             r.lane.pace = PACE_START * paceLeast(r.lane) / PACE_LEAST;
             if (set.relays() > INSISTENT) {
                 // A first call of each relay at once, out of a full bucket, would be more than a place bears.
-                r.lane.bucket.fill(0, random.nextDouble(), now);
+                double first = random.nextDouble();
+                r.lane.bucket.fill(0, known ? saved(p, first) : first, now);
             }
         }
         // A new endpoint is cold, and the messages held for a failing destination would all go there at once.
@@ -1061,19 +1120,86 @@
         return r;
     }
 
+    /** What a bucket holds that has filled by the first pace since the relay began, or since it was spent. */
+    private double saved(Endpoint p, double first) {
+        double perMicro = startPace(p.kind()) / SECOND;
+        Long whole = spent.get(p.destination());
+        return Math.min(1, whole == null ? first + (now - beganAt) * perMicro : 1 - (whole - now) * perMicro);
+    }
+
+    /** Calls a second of this relay to a place that has not shown its limit. */
+    private double startPace(int kind) {
+        return (set.kinds().get(kind).bundle() > 1 ? START_BUNDLES : START_TOGETHER) / set.relays();
+    }
+
     /** Takes a route off; what is known of it is kept a while: waits and health outlast a gap. */
     private void remove(Route r) {
         r.ready = false;
         if (r.dest.routes.remove(r.id) != null) {
             r.goneAt = now;
+            r.dest.gone++;
             at(now + FORGET, Duty.FORGET, r);
         }
+        note(r);
     }
 
     private void forget(Route r) {
-        if (r.goneAt + FORGET <= now && r.inflight == 0 && !r.dest.routes.containsKey(r.id)) {
-            routes.remove(r.id);
+        if (r.goneAt < 0 || r.goneAt + FORGET > now) {
+            return;
+        }
+        if (r.inflight > 0) {
+            at(now + FORGET, Duty.FORGET, r);
+            return;
+        }
+        r.goneAt = -1;
+        r.dest.gone--;
+        if (routes.remove(r.id, r)) {
+            out.add(new Forgotten(r.id));
+        }
+    }
+
+    /**
+     * Forgets destinations, those not used for longest first. A fleet's relay meets each of them once in
+     * many minutes: what it learned then is worth nothing by the next time, and all together would not fit.
+     */
+    private void release() {
+        spent.values().removeIf(whole -> whole <= now);
+        long least = Math.max(set.rules().cold() + set.rules().tipAfter(), set.rules().keyRest());
+        for (MessageClass c : set.classes()) {
+            least = Math.max(least, c.window());
+        }
+        for (var it = used.iterator(); it.hasNext();) {
+            Dest d = it.next();
+            if (now - d.usedAt <= (dests.size() > KNOWN_MOST ? least : Math.max(OF_USE, least))) {
+                return;
+            }
+            if (!rests(d)) {
+                it.remove();
+                dests.remove(d.id);
+                active.remove(d);
+                for (Route r : d.routes.values()) {
+                    routes.remove(r.id);
+                    avoided -= r.avoided ? 1 : 0;
+                    r.lane.bucket.fill(startPace(r.kind), 1, now);
+                    double lacks = set.relays() > INSISTENT ? 1 - r.lane.bucket.tokens : 0;
+                    if (lacks > 0) {
+                        spent.merge(d.id, now + (long) (lacks / startPace(r.kind) * SECOND), Math::max);
+                    }
+                }
+                out.add(new Released(d.id));
+            }
+        }
+    }
+
+    /** True while something rests on it: a message, a wait, an outage, a warm-up, or a gone route. */
+    private boolean rests(Dest d) {
+        boolean rests = d.held > 0 || d.calls > 0 || d.elsewhere > 0 || d.gone > 0;
+        for (Route r : d.routes.values()) {
+            rests |= r.inflight > 0 || closedUntil(r) > now
+                || r.health == Health.OUT && now - d.usedAt < FORGET
+                || r.health == Health.RETURNING && now - r.returnAt < set.rules().cold();
         }
+        return rests;
     }
 
     // ---- Clockwork ------------------------------------------------------------------------------
--- a/src/main/java/wrenkeel/net/HollowRelay.java
+++ b/src/main/java/wrenkeel/net/HollowRelay.java
@@ -53,8 +53,8 @@
             config.settings().allowed().keepAlive(), config.descriptors().hosts(), figures);
         journal = new Journal(config.state(), config.diskBytes());
         driver = new Loop(loop, config, hosts, pool, journal, figures, (whenListed, whenNoticed) ->
-            new Discovery(loop, calls, config.discovery(), hosts, list -> {
-                whenListed.listed(list);
+            new Discovery(loop, calls, config.discovery(), hosts, change -> {
+                whenListed.listed(change);
                 // Behind the module's turn, which stands in the loop's queue by now.
                 loop.execute(() -> inForce(hosts.version()));
             }, whenNoticed));
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -249,8 +249,10 @@
      * more.
      */
     void takeBack(HostList.Host host) {
-        for (Call call : List.copyOf(pool(host).connecting)) {
-            call.parts.forEach(part -> part.abandon(Outcome.NOT_SENT));
+        if (pools.containsKey(host.number)) {
+            for (Call call : List.copyOf(pool(host).connecting)) {
+                call.parts.forEach(part -> part.abandon(Outcome.NOT_SENT));
+            }
         }
     }
 
@@ -258,7 +260,9 @@
      * Closes the connections to a host that carry no call; one whose answer is still coming in, after that.
      */
     void closeIdle(HostList.Host host) {
-        closeIdle(pool(host));
+        if (pools.containsKey(host.number)) {
+            closeIdle(pool(host));
+        }
     }
 
     private static void closeIdle(Pool pool) {
@@ -280,10 +284,11 @@
 
     /** How many idle connections to a host are held. */
     int idle(HostList.Host host) {
-        return pool(host).idle.size();
+        return pools.containsKey(host.number) ? pool(host).idle.size() : 0;
     }
 
     private void sweep() {
+        pools.values().removeIf(pool -> pool.open.isEmpty() && pool.connecting.isEmpty());
         for (Pool pool : pools.values()) {
             // Guards the descriptors against answers that never end: their calls are over already.
             List.copyOf(pool.open).stream().filter(Connection::stuck).forEach(c -> c.channel.close());
--- a/src/main/java/wrenkeel/scale/ScaleCommand.java
+++ b/src/main/java/wrenkeel/scale/ScaleCommand.java
@@ -11,6 +11,8 @@
         ChangeExperiment.class,
         RelaysExperiment.class,
         RestartExperiment.class,
+        TrafficExperiment.class,
+        LearnExperiment.class,
     })
 public final class ScaleCommand {
     private ScaleCommand() { }
--- a/src/test/java/wrenkeel/RuleChecker.java
+++ b/src/test/java/wrenkeel/RuleChecker.java
@@ -86,19 +86,37 @@
         } else if (event instanceof Withdrawn e) {
             end(messages.get(e.id()), now);
         } else if (event instanceof Listed e) {
-            for (Endpoint p : e.endpoints()) {
-                endpoints.put(p.id(), p);
-                if (p.listing() == Listing.READY) {
-                    drained.remove(p.id());
-                } else {
-                    drained.putIfAbsent(p.id(), now);
-                }
-            }
+            e.endpoints().forEach(p -> listed(now, p));
             if (e.kind() == ListKind.WHOLE) {
                 List<Long> named = e.endpoints().stream().map(Endpoint::id).toList();
                 endpoints.keySet().stream().filter(id -> !named.contains(id))
                     .forEach(id -> drained.putIfAbsent(id, now));
             }
+        } else if (event instanceof Introduced e) {
+            e.endpoints().forEach(p -> listed(now, p));
+        }
+    }
+
+    private void listed(long now, Endpoint p) {
+        endpoints.put(p.id(), p);
+        if (p.listing() == Listing.READY) {
+            drained.remove(p.id());
+        } else {
+            drained.putIfAbsent(p.id(), now);
+        }
+    }
+
+    /** What rests on a destination may not be forgotten; from here on it must be introduced before a send. */
+    private void released(long now, long destination) {
+        require(messages.values().stream().allMatch(s -> s.taken.destination() != destination
+            || s.over && !s.open()), "released with a message that is not over");
+        for (Endpoint e : List.copyOf(endpoints.values())) {
+            if (e.destination() == destination) {
+                require(now >= waits.getOrDefault(lane(e), 0L), "released inside a wait");
+                Long cold = coldSince.get(e.id());
+                require(cold == null || now - cold >= set.rules().cold(), "released while it warms up");
+                endpoints.remove(e.id());
+            }
         }
     }
 
@@ -126,6 +144,8 @@
         } else if (action instanceof Cancel a) {
             require(set.allowed().cancel(), "cancel is not allowed");
             require(a.attempt() < messages.get(a.id()).sends.size(), "cancel of an attempt never made");
+        } else if (action instanceof Released a) {
+            released(now, a.destination());
         }
     }
 
