--- a/src/main/java/wrenkeel/scale/ChangeExperiment.java
+++ b/src/main/java/wrenkeel/scale/ChangeExperiment.java
@@ -12,8 +12,8 @@
 
 /** How long a change takes from the source until it is in force at each relay of a fleet. */
 @Command(name = "change", mixinStandardHelpOptions = true,
-    description = "A fleet of so many hollow relays: time from a change at the source until it is in force, at a"
-        + " day's pace (a sample, with shorter gaps) and at 1,000 a minute.")
+    description = "A fleet of so many hollow relays: time from a change at the source until it is in force,"
+        + " at a day's pace (a sample, with shorter gaps) and at 1,000 a minute.")
 final class ChangeExperiment implements Callable<Integer> {
     private static final List<Long> SIZES = List.of(100L, 300L, 1_000L, 2_300L);
     private static final long TARGET = 2_300;
@@ -61,8 +61,9 @@
         Fleet.Spent spent = fleet.spent().minus(before);
         HollowFleet.InForce inForce = fleet.relays().inForce(publishedAt);
         Histogram spans = inForce.spans();
-        if (spans.getTotalCount() != (long) size * changes) {
-            throw new IllegalStateException(spans.getTotalCount() + " times noted of " + (long) size * changes);
+        long owed = (long) size * changes;
+        if (spans.getTotalCount() != owed) {
+            throw new IllegalStateException(spans.getTotalCount() + " times noted of " + owed);
         }
         values.put(prefix + "p50_ms", spans.getValueAtPercentile(50) / 1e3);
         values.put(prefix + "p99_ms", spans.getValueAtPercentile(99) / 1e3);
--- a/src/main/java/wrenkeel/scale/ChangeLog.java
+++ b/src/main/java/wrenkeel/scale/ChangeLog.java
@@ -7,9 +7,9 @@
 import java.util.TreeMap;
 
 /**
- * The list as its source has published it: a bounded log of changes and the latest whole lists as encoded. All
- * control machines and agents of a run share one, so that thousands of them fit into a process; how much of it
- * each has been sent is its own affair. Any thread.
+ * The list as its source has published it: a bounded log of changes and the latest whole lists as encoded.
+ * All control machines and agents of a run share one, so that thousands of them fit into a process; how much
+ * of it each has been sent is its own affair. Any thread.
  */
 final class ChangeLog {
     /** Encoded whole lists kept: nodes that are some changes behind are served from an older one. */
@@ -84,8 +84,8 @@
     }
 
     /**
-     * The latest encoded whole list that is no newer than this version; whoever gets it asks for the rest next.
-     * Null if all that are kept are newer.
+     * The latest encoded whole list that is no newer than this version; whoever gets it asks for the rest
+     * next. Null if all that are kept are newer.
      */
     synchronized byte[] whole(long upTo) {
         long latest = latest();
--- a/src/main/java/wrenkeel/scale/ControlMachines.java
+++ b/src/main/java/wrenkeel/scale/ControlMachines.java
@@ -10,10 +10,10 @@
 import java.util.List;
 
 /**
- * The seven control machines as a tree of watches over two regions and five zones: one head a region, of which the
- * first is the source, and one machine a zone. So a change crosses between the regions once, enters each zone once,
- * and no machine sends it to more than a fifth of the fleet's agents; what a zone's return costs stays with that
- * zone's machine. Each machine is one thread here.
+ * The seven control machines as a tree of watches over two regions and five zones: one head a region, of
+ * which the first is the source, and one machine a zone. So a change crosses between the regions once, enters
+ * each zone once, and no machine sends it to more than a fifth of the fleet's agents; what a zone's return
+ * costs stays with that zone's machine. Each machine is one thread here.
  */
 final class ControlMachines implements AutoCloseable {
     static final int MACHINES = 7, ZONES = 5;
@@ -73,7 +73,8 @@
 
     /** The lowest version that any machine holds. */
     long version() {
-        return Math.min(secondHead.version(), zones.stream().mapToLong(ListNode::version).min().orElseThrow());
+        return Math.min(secondHead.version(),
+            zones.stream().mapToLong(ListNode::version).min().orElseThrow());
     }
 
     /** Between the machines. */
--- a/src/main/java/wrenkeel/scale/Fleet.java
+++ b/src/main/java/wrenkeel/scale/Fleet.java
@@ -102,7 +102,8 @@
         next = draining ? next : random.nextInt(catalog.size());
         draining = !draining;
         long at = EpochClock.micros();
-        machines.published(log.publish(next, draining ? HostCatalog.Health.DRAINING : HostCatalog.Health.READY));
+        machines.published(log.publish(next,
+            draining ? HostCatalog.Health.DRAINING : HostCatalog.Health.READY));
         return at;
     }
 
--- a/src/main/java/wrenkeel/scale/FleetAgents.java
+++ b/src/main/java/wrenkeel/scale/FleetAgents.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.function.IntUnaryOperator;
 
-/** One agent a relay, each with a door of its own and a watch of its zone's machine; a few threads carry all. */
+/** One agent a relay, each with its own door and watch of its zone's machine; a few threads carry all. */
 final class FleetAgents implements AutoCloseable {
     private static final int THREADS = 3;
 
--- a/src/main/java/wrenkeel/scale/HollowFleet.java
+++ b/src/main/java/wrenkeel/scale/HollowFleet.java
@@ -32,7 +32,7 @@
     private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
         "-XX:-UsePerfData", "-Xss512k", "-Dorg.slf4j.simpleLogger.defaultLogLevel=error");
 
-    /** When each of some versions was in force: all spans over all relays, and the last relay's of each, us. */
+    /** How long some versions took to be in force: at all relays, and at the last one of each, us. */
     record InForce(Histogram spans, List<Long> last) { }
 
     /** After a collection, over all processes. */
@@ -89,14 +89,15 @@
         return tell(child -> "await " + version + " " + seconds).stream().mapToLong(Long::parseLong).sum();
     }
 
-    /** Notes from now on when each of the {@code versions} after this one, which all hold, comes into force. */
+    /** Notes from now on when each of so many versions after this one, which all hold, is in force. */
     void note(long version, int versions) throws IOException {
         tell(child -> "note " + version + " " + versions);
     }
 
     /** Given when each of the noted versions was published (epoch us): how long they took to be in force. */
     InForce inForce(List<Long> publishedAt) throws IOException {
-        String command = "inforce " + publishedAt.stream().map(String::valueOf).collect(Collectors.joining(" "));
+        String command = "inforce "
+            + publishedAt.stream().map(String::valueOf).collect(Collectors.joining(" "));
         Histogram spans = new Histogram(DIGITS);
         Map<Integer, Long> last = new TreeMap<>();
         for (String answer : tell(child -> command)) {
@@ -109,7 +110,7 @@
         return new InForce(spans, List.copyOf(last.values()));
     }
 
-    /** us from the latest start of each of these relays until its list was in force; those without one are left out. */
+    /** us from the latest start of each of these relays until its list was in force; others are left out. */
     Histogram starts(int from, int to) throws IOException {
         Histogram spans = new Histogram(DIGITS);
         for (String answer : range("starts", from, to)) {
@@ -165,7 +166,8 @@
 
     static Histogram decode(String text) throws IOException {
         try {
-            return Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(Base64.getDecoder().decode(text)), 0);
+            ByteBuffer bytes = ByteBuffer.wrap(Base64.getDecoder().decode(text));
+            return Histogram.decodeFromCompressedByteBuffer(bytes, 0);
         } catch (DataFormatException e) {
             throw new IOException("a process answered with no histogram", e);
         }
@@ -200,8 +202,8 @@
             List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx" + heapMb + "m"));
             command.addAll(FLAGS);
-            command.addAll(List.of("-cp", System.getProperty("java.class.path"), HollowProcess.class.getName(),
-                home.toString()));
+            command.addAll(List.of("-cp", System.getProperty("java.class.path"),
+                HollowProcess.class.getName(), home.toString()));
             process = new ProcessBuilder(command).redirectError(errors.toFile()).start();
             commands = new PrintStream(process.getOutputStream(), true, StandardCharsets.US_ASCII);
             answers = new BufferedReader(new InputStreamReader(process.getInputStream(),
--- a/src/main/java/wrenkeel/scale/HollowProcess.java
+++ b/src/main/java/wrenkeel/scale/HollowProcess.java
@@ -14,9 +14,9 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * A process that holds many hollow relays. It is told what to do in lines on its standard input and answers each
- * with one line; it ends when that input does, so that it never outlives the run. Relays are numbered from 0 in
- * each process.
+ * A process that holds many hollow relays. It is told what to do in lines on its standard input and answers
+ * each with one line; it ends when that input does, so that it never outlives the run. Relays are numbered
+ * from 0 in each process.
  *
  * <pre>
  *   add PORT...               relays with their agents' ports           ok
@@ -46,7 +46,8 @@
         PrintStream answers = System.out;
         // Only answers go to the standard output.
         System.setOut(System.err);
-        BufferedReader lines = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
+        BufferedReader lines = new BufferedReader(new InputStreamReader(System.in,
+            StandardCharsets.US_ASCII));
         for (String line = lines.readLine(); line != null; line = lines.readLine()) {
             try {
                 answers.println(("ok " + process.carryOut(line.split(" "))).strip());
--- a/src/main/java/wrenkeel/scale/HopCounters.java
+++ b/src/main/java/wrenkeel/scale/HopCounters.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.atomic.LongAdder;
 
 /**
- * What has gone over one hop of the list's way, counted at its serving side: HTTP with its heads, without what
- * TCP and IP add. Any thread may count and read.
+ * What has gone over one hop of the list's way, counted at its serving side: HTTP with its heads, without
+ * what TCP and IP add. Any thread may count and read.
  */
 final class HopCounters {
     private final LongAdder calls = new LongAdder();
--- a/src/main/java/wrenkeel/scale/ListNode.java
+++ b/src/main/java/wrenkeel/scale/ListNode.java
@@ -31,8 +31,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One place on the list's way from its source to the relays: a control machine or an agent. It serves watches of
- * what it has been sent, and, unless it is the source, watches the place above it. All on one event loop.
+ * One place on the list's way from its source to the relays: a control machine or an agent. It serves watches
+ * of what it has been sent, and, unless it is the source, watches the place above it. All on one event loop.
  */
 final class ListNode implements AutoCloseable {
     /** ms; the longest wait that the protocol allows. */
@@ -100,7 +100,7 @@
         List.copyOf(waiting).forEach(Caller::answerIfDue);
     }
 
-    /** Its machine is lost and back: connections are reset, and it holds nothing until it is sent the list anew. */
+    /** Its machine is lost and back: connections are closed; it holds nothing until it is sent the list. */
     Future<?> restart(InetSocketAddress above, long wait) {
         return loop.submit(() -> {
             upstream.close();
@@ -188,7 +188,8 @@
         }
 
         private void answer(HttpResponseStatus status, ByteBuf body) {
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+            DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
             if (status != HttpResponseStatus.NO_CONTENT) {
                 response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             }
--- a/src/main/java/wrenkeel/scale/PeakRates.java
+++ b/src/main/java/wrenkeel/scale/PeakRates.java
@@ -40,7 +40,7 @@
         agentBytes = agent;
     }
 
-    /** Bytes a second from the zones' machines to the agents; what has gone since the last window included. */
+    /** Bytes a second from the zones' machines to the agents, up to now. */
     synchronized double machine() {
         sample();
         return machinePeak;
--- a/src/main/java/wrenkeel/scale/RelaysExperiment.java
+++ b/src/main/java/wrenkeel/scale/RelaysExperiment.java
@@ -11,8 +11,8 @@
 
 /** What a fleet of so many relays costs all the time: without a change, and while changes trickle in. */
 @Command(name = "relays", mixinStandardHelpOptions = true,
-    description = "A fleet of so many hollow relays: calls, bytes and processor time of relays, agents and the"
-        + " control machines; memory of a relay.")
+    description = "A fleet of so many hollow relays: calls, bytes and processor time of relays, agents and"
+        + " the control machines; memory of a relay.")
 final class RelaysExperiment implements Callable<Integer> {
     private static final List<Long> SIZES = List.of(100L, 300L, 1_000L, 2_300L);
     private static final long TARGET = 2_300;
@@ -64,7 +64,8 @@
     /** What one change adds to what was spent without any. */
     private void perChange(Fleet.Spent trickle, Fleet.Spent idle, Map<String, Double> values) {
         double share = (double) trickle.at() / idle.at();
-        values.put("change_source_bytes", (trickle.source().bytes() - share * idle.source().bytes()) / changes);
+        values.put("change_source_bytes",
+            (trickle.source().bytes() - share * idle.source().bytes()) / changes);
         values.put("change_machine_bytes",
             (trickle.machine().bytes() - share * idle.machine().bytes()) / changes);
         values.put("change_agent_bytes", (trickle.agent().bytes() - share * idle.agent().bytes()) / changes);
--- a/src/main/java/wrenkeel/scale/RestartExperiment.java
+++ b/src/main/java/wrenkeel/scale/RestartExperiment.java
@@ -10,14 +10,15 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
-/** What restarts cost: of single relays, of single machines with their agents, and of a whole zone at once. */
+/** What restarts cost: of single relays, of single machines with their agents, of a whole zone at once. */
 @Command(name = "restart", mixinStandardHelpOptions = true,
-    description = "A zone of so many hollow relays: single relays restarted, single machines replaced (the agent"
-        + " starts empty too), then the zone back at once with its control machine: whole lists, bytes, time.")
+    description = "A zone of so many hollow relays: single relays restarted, single machines replaced (the"
+        + " agent starts empty too), then the zone back at once with its control machine: whole lists,"
+        + " bytes, time.")
 final class RestartExperiment implements Callable<Integer> {
     private static final List<Long> SIZES = List.of(50L, 150L, 300L, 460L);
     private static final long TARGET = 460;
-    /** ms; so long the fleet is left alone first, so that its watches can be taken off. One wait of a relay. */
+    /** ms; one wait of a relay: its watches without a restart, which are taken off. */
     private static final long IDLE = 4_000;
 
     @Mixin
--- a/src/main/java/wrenkeel/scale/UpstreamWatch.java
+++ b/src/main/java/wrenkeel/scale/UpstreamWatch.java
@@ -27,8 +27,9 @@
 import java.util.regex.Pattern;
 
 /**
- * The watch that an agent or a control machine keeps of the place above it. What it is sent comes over the socket
- * whole, but only its version is looked at: the content stands in the {@link ChangeLog} that all share.
+ * The watch that an agent or a control machine keeps of the place above it. What it is sent comes over the
+ * socket whole, but only its version is looked at: the content stands in the {@link ChangeLog} that all
+ * share.
  */
 final class UpstreamWatch implements AutoCloseable {
     /** ms; gap before a call is made again, and silence beyond the wait that ends a connection. */
@@ -46,7 +47,8 @@
     private boolean closed;
 
     /** Goes on from {@code version}, -1 for nothing; {@code wait}: ms that each call may wait. */
-    UpstreamWatch(EventLoop loop, InetSocketAddress above, long wait, long version, LongConsumer whenArrived) {
+    UpstreamWatch(EventLoop loop, InetSocketAddress above, long wait, long version,
+                  LongConsumer whenArrived) {
         this.loop = loop;
         this.above = above;
         this.wait = wait;
