--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -1,6 +1,8 @@
 package wrenkeel.net;
 
+import io.netty.util.NetUtil;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -16,13 +18,13 @@
 
 /**
  * What the platform tells one relay at its start. {@code zones} and {@code kinds} hold the names that
- * discovery's list uses, in the order of the numbers that the module knows them by; {@code known} is the list
- * as last had; {@code console} is null where operators have no address; {@code file} is
- * all that was read.
+ * discovery's list uses, in the order of the numbers that the module knows them by; {@code known} tells where
+ * the list as last had stands; {@code console} is null where operators have no address; {@code file} is
+ * all that was read but for the list's hosts.
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress console, Path state,
               long seed, int sockets, long diskBytes, Relay.Settings settings, List<String> zones,
-              List<String> kinds, Wire.Fields known, Wire.Fields file) {
+              List<String> kinds, KnownList known, Wire.Fields file) {
 
     /** us; taken off a key's window besides: for the way to the host. */
     private static final long WINDOW_MARGIN = 100_000;
@@ -43,8 +45,10 @@
         if (file == null || state == null) {
             throw new Unusable("EDGE_CONFIG and EDGE_STATE must be set");
         }
-        try {
-            Wire.Fields all = Wire.decode(Files.readString(Path.of(file)));
+        KnownList[] known = {new KnownList(Path.of(file), 0, 0)};
+        try (InputStream text = Files.newInputStream(Path.of(file))) {
+            Wire.Fields all = Wire.decode(text, "known",
+                (from, length) -> known[0] = new KnownList(Path.of(file), from, length));
             Wire.Fields limits = all.object("limits");
             Wire.Fields settings = all.object("settings");
             return new Config(
@@ -53,7 +57,7 @@
                 console(env.getOrDefault("EDGE_CONSOLE", all.text("console", null))), folder(state),
                 seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
                 (long) (limits.number("disk_mb", 3) * 1_000_000), usable(Wire.settings(settings)),
-                names(settings, "localities"), names(settings, "kinds"), all.object("known"), all);
+                names(settings, "localities"), names(settings, "kinds"), listed(all, known[0]), all);
         } catch (Wire.Malformed e) {
             throw new Unusable("configuration " + file + ": " + e.getMessage());
         } catch (IOException e) {
@@ -80,6 +84,11 @@
             next.settings, zones, kinds, next.known, next.file);
     }
 
+    /** One that names nothing counts as none; one that is no object is a fault. */
+    private static KnownList listed(Wire.Fields all, KnownList known) throws Wire.Malformed {
+        return all.object("known").values().isEmpty() ? new KnownList(known.file(), 0, 0) : known;
+    }
+
     Descriptors descriptors() {
         return Descriptors.of(sockets, settings.allowed().slots());
     }
@@ -160,9 +169,9 @@
     static InetSocketAddress address(String text) throws Unusable {
         int colon = text.lastIndexOf(':');
         try {
-            String host = text.substring(0, Math.max(0, colon));
-            if (host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
-                return new InetSocketAddress(InetAddress.getByName(host),
+            byte[] host = NetUtil.createByteArrayFromIpAddressString(text.substring(0, Math.max(0, colon)));
+            if (host != null) {
+                return new InetSocketAddress(InetAddress.getByAddress(host),
                     Integer.parseInt(text.substring(colon + 1)));
             }
         } catch (IOException | IllegalArgumentException e) {
--- a/src/main/java/wrenkeel/scale/ScaleCommand.java
+++ b/src/main/java/wrenkeel/scale/ScaleCommand.java
@@ -8,6 +8,11 @@
     description = "Measures how cost grows with size: on loopback only, bounded in time and memory.",
     subcommands = {
         ListExperiment.class,
+        ChangeExperiment.class,
+        RelaysExperiment.class,
+        RestartExperiment.class,
+        TrafficExperiment.class,
+        LearnExperiment.class,
     })
 public final class ScaleCommand {
     private ScaleCommand() { }
