Save up two first calls for a place that is introduced late, as for one known from the start

ReleaseTest.aRefusedFirstCallIsRepeatedAfterItsBackOff fails without it. aCallThatWasSpent... spends both calls now, and is as strict.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -62,6 +62,8 @@
     private static final long PACE_SPAN = 3 * SECOND;
     /** s; a lane may send this much of its pace at once. */
     private static final double PACE_BURST = 0.7;
+    /** Calls that a lane of any pace may save up: the first of a message, and one more if that is refused. */
+    private static final double BURST_LEAST = 2;
     /** Share of the limit left below which the pace gives way, and the pace's steps. */
     private static final double LEFT_LOW = 0.15, LEFT_CUT = 0.9;
     /** Share of calls after a refusal that get in (by kind): least counted, weight of a new one, usual. */
@@ -122,7 +124,7 @@
     private final Set<Dest> active = new LinkedHashSet<>();
     /** All destinations, the one used last at the end. */
     private final Set<Dest> used = new LinkedHashSet<>();
-    /** Of destinations released before their pace allowed another call: when it does. */
+    /** Of destinations released before their bucket was full again: when it is. */
     private final Map<Long, Long> spent = new LinkedHashMap<>();
     private Bucket[] shares;
     /** us, by kind: how long idle connections are held (endpoints may take few), and trusted to be alive. */
@@ -955,7 +957,7 @@
             when = Math.max(when, budgetAt(r));
         }
         regain(r);
-        lane.bucket.fill(lane.pace, Math.max(2, lane.pace * PACE_BURST), now);
+        lane.bucket.fill(lane.pace, Math.max(BURST_LEAST, lane.pace * PACE_BURST), now);
         if (!joins && lane.bucket.tokens < 1) {
             when = Math.max(when, now + (long) ((1 - lane.bucket.tokens) / lane.pace * SECOND) + 1);
         }
@@ -1129,7 +1131,9 @@
     private double saved(Endpoint p, double first) {
         double perMicro = startPace(p.kind()) / SECOND;
         Long whole = spent.get(p.destination());
-        return Math.min(1, whole == null ? first + (now - beganAt) * perMicro : 1 - (whole - now) * perMicro);
+        double saved = whole == null ? first + (now - beganAt) * perMicro
+            : BURST_LEAST - (whole - now) * perMicro;
+        return Math.min(BURST_LEAST, saved);
     }
 
     /** Calls a second of this relay to a place that has not shown its limit. */
@@ -1185,8 +1189,8 @@
                 for (Route r : d.routes.values()) {
                     routes.remove(r.id);
                     avoided -= r.avoided ? 1 : 0;
-                    r.lane.bucket.fill(startPace(r.kind), 1, now);
-                    double lacks = set.relays() > INSISTENT ? 1 - r.lane.bucket.tokens : 0;
+                    r.lane.bucket.fill(startPace(r.kind), BURST_LEAST, now);
+                    double lacks = set.relays() > INSISTENT ? BURST_LEAST - r.lane.bucket.tokens : 0;
                     if (lacks > 0) {
                         spent.merge(d.id, now + (long) (lacks / startPace(r.kind) * SECOND), Math::max);
                     }
--- a/src/test/java/wrenkeel/ReleaseTest.java
+++ b/src/test/java/wrenkeel/ReleaseTest.java
@@ -179,6 +179,16 @@
         assertEquals(40, first(b, 40).size());
     }
 
+    /** Guards a message whose first call is refused: the second need not wait for a pace that has just begun. */
+    @Test
+    void aRefusedFirstCallIsRepeatedAfterItsBackOff() {
+        Bench b = large();
+        b.pass(LONG);
+        Send refused = first(b, 1).get(0);
+        b.turn(ended(refused, 0, Outcome.FULL));
+        assertEquals(1, sends(b.pass(8 * SECOND)).size());
+    }
+
     /** Guards the fleet's first second: all relays together begin with a part of their calls. */
     @Test
     void rightAfterTheStartFewPlacesAreCalled() {
@@ -190,8 +200,9 @@
     void aCallThatWasSpentIsRememberedAcrossARelease() {
         Bench b = large();
         b.pass(LONG);
-        Send sent = first(b, 1).get(0);
-        b.turn(ended(sent, 0, Outcome.OK));
+        b.turn(ended(first(b, 1).get(0), 0, Outcome.OK));
+        // The two calls that it had saved up.
+        b.turn(ended(sendOne(b), 0, Outcome.OK));
         for (long d = 2; d < 5_000; d++) {
             b.turn(introduced(d));
         }
