--- a/src/main/java/wrenkeel/scale/ScaleCommand.java
+++ b/src/main/java/wrenkeel/scale/ScaleCommand.java
@@ -8,6 +8,9 @@
     description = "Measures how cost grows with size: on loopback only, bounded in time and memory.",
     subcommands = {
         ListExperiment.class,
+        ChangeExperiment.class,
+        RelaysExperiment.class,
+        RestartExperiment.class,
         TrafficExperiment.class,
         LearnExperiment.class,
     })
