--- a/src/main/java/wrenkeel/scale/RelaysExperiment.java
+++ b/src/main/java/wrenkeel/scale/RelaysExperiment.java
@@ -17,13 +17,16 @@
     private static final List<Long> SIZES = List.of(100L, 300L, 1_000L, 2_300L);
     private static final long TARGET = 2_300;
 
+    /** ms; how long a relay's watch waits. */
+    private static final long WAIT = 4_000;
+
     @Mixin
     private CommonOptions options;
     @Mixin
     private FleetOptions fleetOptions;
-    @Option(names = "--idle-seconds", defaultValue = "8", paramLabel = "N",
-        description = "How long is measured without a change (default: ${DEFAULT-VALUE}).")
-    private long idleSeconds;
+    @Option(names = "--idle-waits", defaultValue = "2", paramLabel = "N",
+        description = "Waits of 4 s that are measured without a change (default: ${DEFAULT-VALUE}).")
+    private int idleWaits;
     @Option(names = "--changes", defaultValue = "16", paramLabel = "N",
         description = "Changes of the trickle (default: ${DEFAULT-VALUE}).")
     private int changes;
@@ -43,14 +46,15 @@
             // What runs for the first time is compiled before it is measured.
             fleet.changes(changes, gap / 4);
             fleet.awaitRelays();
+            // All watches began with the last change. Between two ends of their waits, so that whole ones count.
+            Thread.sleep(WAIT / 2);
             Fleet.Spent before = fleet.spent();
-            Thread.sleep(idleSeconds * 1_000);
+            Thread.sleep(WAIT * idleWaits);
             Fleet.Spent idle = fleet.spent();
             idle.minus(before).rates("idle_", values);
             fleet.changes(changes, gap);
             fleet.awaitRelays();
-            Fleet.Spent trickle = fleet.spent().minus(idle);
-            perChange(trickle, idle.minus(before), values);
+            aChange(fleet.spent().minus(idle), idle.minus(before), values);
             HollowFleet.Memory memory = fleet.relays().memory();
             values.put("relays_heap_mb", memory.heapBytes() / 1e6);
             values.put("relays_rss_mb", memory.rssBytes() / 1e6);
@@ -61,14 +65,15 @@
         return values;
     }
 
-    /** What one change adds to what was spent without any. */
-    private void perChange(Fleet.Spent trickle, Fleet.Spent idle, Map<String, Double> values) {
+    /**
+     * What one change moves on each hop: no watch ends by itself where changes follow this quickly. Processor
+     * time is less that of the idle fleet.
+     */
+    private void aChange(Fleet.Spent trickle, Fleet.Spent idle, Map<String, Double> values) {
         double share = (double) trickle.at() / idle.at();
-        values.put("change_source_bytes",
-            (trickle.source().bytes() - share * idle.source().bytes()) / changes);
-        values.put("change_machine_bytes",
-            (trickle.machine().bytes() - share * idle.machine().bytes()) / changes);
-        values.put("change_agent_bytes", (trickle.agent().bytes() - share * idle.agent().bytes()) / changes);
+        values.put("change_source_bytes", (double) trickle.source().bytes() / changes);
+        values.put("change_machine_bytes", (double) trickle.machine().bytes() / changes);
+        values.put("change_agent_bytes", (double) trickle.agent().bytes() / changes);
         values.put("change_machines_cpu_ms",
             (trickle.machinesCpu() - share * idle.machinesCpu()) / changes / 1e3);
         values.put("change_agents_cpu_ms", (trickle.agentsCpu() - share * idle.agentsCpu()) / changes / 1e3);
