--- a/src/main/java/wrenkeel/scale/Fleet.java
+++ b/src/main/java/wrenkeel/scale/Fleet.java
@@ -141,7 +141,7 @@
     }
 
     @Override
-    public void close() throws IOException {
+    public void close() {
         relays.close();
         agents.close();
         machines.close();
--- a/src/main/java/wrenkeel/scale/HollowFleet.java
+++ b/src/main/java/wrenkeel/scale/HollowFleet.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -42,6 +43,8 @@
     private final int count;
     private final Path folder;
     private final List<Child> children = new ArrayList<>();
+    /** Where the run is ended before its time, the processes and their files go with it. */
+    private final Thread atExit = new Thread(this::remove, "end of the hollow relays");
 
     /**
      * Starts the processes; their relays are not started yet.
@@ -53,6 +56,7 @@
         this.each = each;
         this.count = agents.size();
         this.folder = Files.createTempDirectory("wrenkeel-fleet");
+        Runtime.getRuntime().addShutdownHook(atExit);
         try {
             for (int from = 0; from < count; from += each) {
                 children.add(new Child(Files.createDirectory(folder.resolve("p" + from)), heapMb));
@@ -175,15 +179,20 @@
 
     /** Ends the processes by their numbers, and removes the relays' files. */
     @Override
-    public void close() throws IOException {
+    public void close() {
+        Runtime.getRuntime().removeShutdownHook(atExit);
+        remove();
+    }
+
+    private void remove() {
         children.forEach(child -> child.commands.close());
-        for (Child child : children) {
-            child.end();
-        }
+        children.forEach(Child::end);
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
             }
+        } catch (IOException | UncheckedIOException e) {
+            System.err.println("left behind: " + folder + ": " + e);
         }
     }
 
