--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -94,9 +94,21 @@
     public record Ended(String id, int attempt, long endpoint, Outcome outcome, boolean over, long waitFor,
                         long latency, double left, double limit) implements Event { }
 
-    /** The list of endpoints changed. */
+    /**
+     * Discovery answered. {@code endpoints}: what changed, or all there is, of the destinations that the
+     * module has been told of and has not released.
+     */
     public record Listed(ListKind kind, List<Endpoint> endpoints) implements Event { }
 
+    /**
+     * All endpoints of a destination that the module does not know yet, or has released; told before anything
+     * else of that destination. No answer of discovery: it says nothing of how old the list is.
+     */
+    public record Introduced(List<Endpoint> endpoints) implements Event { }
+
+    /** The module is to release destinations that nothing rests on; without this it knows all for ever. */
+    public record Release() implements Event { }
+
     /** The list held is of before the process began, and a newer one has been asked for. */
     public record ListAsked() implements Event { }
 
@@ -143,6 +155,12 @@
     /** Close the idle connections held to an endpoint. */
     public record Close(long endpoint) implements Action { }
 
+    /** Nothing is known any more of an endpoint that went off the list. */
+    public record Forgotten(long endpoint) implements Action { }
+
+    /** Nothing is known any more of a destination: it must be introduced before its next message. */
+    public record Released(long destination) implements Action { }
+
     /** Ask for a {@link Due} event after this span. */
     public record Wake(long after) implements Action { }
 
--- /dev/null
+++ b/src/main/java/wrenkeel/scale/RelayProcess.java
@@ -0,0 +1,274 @@
+package wrenkeel.scale;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import wrenkeel.Wire;
+
+/**
+ * One real relay, started by {@code run} of the deploy file under the limits that stand there, with a
+ * temporary folder of its own that is deleted at the end. At most one process at a time; it dies with this
+ * JVM. Not for several threads.
+ */
+final class RelayProcess implements AutoCloseable {
+    private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"");
+    /** With what follows the port: a line may be half written. */
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?:(\\d+)\\D"),
+        CONSOLE = Pattern.compile("operators at \\S*?:(\\d+)\\D");
+    private static final Duration LOOK = Duration.ofMillis(5);
+    private static final int CALL_PATIENCE = 2_000;
+
+    private final Path root;
+    private final Path folder;
+    private final RelaySettings settings;
+    private final InetSocketAddress agent;
+    private final Thread atExit = new Thread(this::remove, "end of a relay");
+    private Process process;
+    private ProcessStats stats;
+    private int starts;
+    private InetSocketAddress clients;
+    private InetSocketAddress console;
+
+    /**
+     * Writes the configuration; {@link #start} starts the process.
+     *
+     * @param root the repository's root, built
+     * @param known the list that the configuration holds, in discovery's form; null for none
+     */
+    RelayProcess(Path root, RelaySettings settings, InetSocketAddress agent, byte[] known)
+        throws IOException {
+        this.root = root;
+        this.settings = settings;
+        this.agent = agent;
+        folder = Files.createTempDirectory("scale-relay");
+        Files.createDirectory(folder.resolve("state"));
+        Files.createDirectory(folder.resolve("tmp"));
+        RelayConfig.write(folder.resolve("config.json"), settings, agent, known);
+        Runtime.getRuntime().addShutdownHook(atExit);
+    }
+
+    /**
+     * Starts the process, or one more after the last has ended; the lasting folder is kept. Does not wait.
+     */
+    void start() throws IOException {
+        if (process != null && process.isAlive()) {
+            throw new IllegalStateException("process " + process.pid() + " runs");
+        }
+        clients = null;
+        console = null;
+        ProcessBuilder run = new ProcessBuilder("/bin/sh", "-c", command(root)).directory(root.toFile())
+            .redirectErrorStream(true).redirectOutput(log(++starts).toFile());
+        run.environment().putAll(Map.of("EDGE_NAME", settings.name(), "EDGE_LISTEN", "127.0.0.1:0",
+            "EDGE_CONSOLE", "127.0.0.1:0", "EDGE_DISCOVERY", RelayConfig.text(agent),
+            "EDGE_STATE", state().toString(), "EDGE_CONFIG", folder.resolve("config.json").toString(),
+            "TMPDIR", folder.resolve("tmp").toString()));
+        process = run.start();
+        stats = new ProcessStats(process.pid());
+    }
+
+    private static String command(Path root) throws IOException {
+        Path file = root.resolve("deploy/balancer.toml");
+        Matcher run = RUN.matcher(Files.readString(file));
+        if (!run.find()) {
+            throw new IOException("no run = \"...\" in " + file);
+        }
+        return run.group(1).replaceAll("\\\\(.)", "$1");
+    }
+
+    private Path log(int start) {
+        return folder.resolve("log." + start);
+    }
+
+    /** What the latest process has written so far. */
+    String log() throws IOException {
+        return starts == 0 ? "" : Files.readString(log(starts));
+    }
+
+    /** The folder that lasts. */
+    Path state() {
+        return folder.resolve("state");
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Waits until the process serves clients; false where it does not in time. */
+    boolean awaitServing(Duration atMost) throws IOException, InterruptedException {
+        if (!awaitConsole(atMost)) {
+            return false;
+        }
+        clients = awaitAddress(SERVING, atMost);
+        return clients != null;
+    }
+
+    /** Waits until the process answers operators; false where it does not in time. */
+    boolean awaitConsole(Duration atMost) throws IOException, InterruptedException {
+        if (console == null) {
+            console = awaitAddress(CONSOLE, atMost);
+        }
+        return console != null;
+    }
+
+    private InetSocketAddress awaitAddress(Pattern pattern, Duration atMost)
+        throws IOException, InterruptedException {
+        long by = System.nanoTime() + atMost.toNanos();
+        while (true) {
+            boolean ended = !process.isAlive();
+            Matcher line = pattern.matcher(log());
+            if (line.find()) {
+                return new InetSocketAddress("127.0.0.1", Integer.parseInt(line.group(1)));
+            }
+            if (ended) {
+                throw new IOException("the relay ended with code " + process.exitValue() + ": "
+                    + log().lines().limit(3).toList());
+            }
+            if (System.nanoTime() > by) {
+                return null;
+            }
+            Thread.sleep(LOOK.toMillis());
+        }
+    }
+
+    /** Where clients connect, once it serves. */
+    InetSocketAddress clients() {
+        return clients;
+    }
+
+    /** Where operators connect, once it answers them. */
+    InetSocketAddress console() {
+        return console;
+    }
+
+    /** The figures of the console. */
+    Wire.Fields telemetry() throws IOException {
+        HttpURLConnection call = call("telemetry");
+        try (InputStream answer = call.getInputStream()) {
+            return Wire.decode(new String(answer.readAllBytes(), StandardCharsets.UTF_8));
+        } finally {
+            call.disconnect();
+        }
+    }
+
+    /** True if the console says that it serves. */
+    boolean ready() throws IOException {
+        HttpURLConnection call = call("ready");
+        try {
+            return call.getResponseCode() == HttpURLConnection.HTTP_OK;
+        } finally {
+            call.disconnect();
+        }
+    }
+
+    private HttpURLConnection call(String name) throws IOException {
+        URI uri = URI.create("http://" + RelayConfig.text(console) + "/api/" + name);
+        HttpURLConnection call = (HttpURLConnection) uri.toURL().openConnection();
+        call.setConnectTimeout(CALL_PATIENCE);
+        call.setReadTimeout(CALL_PATIENCE);
+        return call;
+    }
+
+    /** How many hosts the list that it holds names. */
+    long members() throws IOException {
+        return telemetry().whole("members");
+    }
+
+    /**
+     * Waits until the list that it holds names so many hosts; false where it does not in time, or ends. One
+     * that is too busy to answer its operators is asked again.
+     */
+    boolean awaitMembers(long hosts, Duration atMost, Duration look)
+        throws IOException, InterruptedException {
+        long by = System.nanoTime() + atMost.toNanos();
+        while (alive() && System.nanoTime() < by) {
+            try {
+                if (awaitConsole(Duration.ofNanos(by - System.nanoTime())) && members() == hosts) {
+                    return true;
+                }
+            } catch (IOException e) {
+                if (!alive()) {
+                    System.err.println(settings.name() + ": " + e.getMessage());
+                }
+            }
+            Thread.sleep(look.toMillis());
+        }
+        return false;
+    }
+
+    /** Processor time of the process since its start, us. */
+    long cpuMicros() throws IOException {
+        return stats.cpuMicros();
+    }
+
+    /** Resident memory, bytes. */
+    long rssBytes() throws IOException {
+        return stats.rssBytes();
+    }
+
+    /** The most resident memory since the start, bytes. */
+    long peakRssBytes() throws IOException {
+        return stats.peakRssBytes();
+    }
+
+    /** SIGKILL; returns once the process has ended. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor();
+    }
+
+    /** SIGTERM; returns once the process has ended, by SIGKILL where it takes longer. */
+    void terminate(Duration atMost) throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(atMost.toMillis(), TimeUnit.MILLISECONDS)) {
+            kill();
+        }
+    }
+
+    /** SIGHUP: the configuration is read anew. */
+    void reload() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", Long.toString(pid())).start().waitFor();
+    }
+
+    /** Ends the process and deletes its folder. */
+    @Override
+    public void close() {
+        Runtime.getRuntime().removeShutdownHook(atExit);
+        remove();
+    }
+
+    private void remove() {
+        try {
+            if (process != null) {
+                kill();
+            }
+            List<Path> left;
+            try (Stream<Path> all = Files.walk(folder)) {
+                left = all.sorted(Comparator.reverseOrder()).toList();
+            }
+            for (Path path : left) {
+                Files.delete(path);
+            }
+        } catch (IOException e) {
+            System.err.println("left behind: " + folder + ": " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
