--- a/src/main/java/wrenkeel/scale/RelaysExperiment.java
+++ b/src/main/java/wrenkeel/scale/RelaysExperiment.java
@@ -46,7 +46,7 @@
             // What runs for the first time is compiled before it is measured.
             fleet.changes(changes, gap / 4);
             fleet.awaitRelays();
-            // All watches began with the last change. Between two ends of their waits, so that whole ones count.
+            // All watches began with the last change. Between two ends of their waits: whole ones count.
             Thread.sleep(WAIT / 2);
             Fleet.Spent before = fleet.spent();
             Thread.sleep(WAIT * idleWaits);
