--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -316,6 +316,7 @@
         long countsAsTold = 6_000, toAskAndToStop = 1_000;
         assertTrue(Discovery.WAIT + Discovery.WAIT_SLACK + toAskAndToStop <= countsAsTold);
         try (Node relay = relay()) {
+            assertNotNull(relay.address());
             assertEquals("after=1&wait_ms=1", platform.asked.take());
             assertEquals("after=1&wait_ms=" + Discovery.WAIT, platform.asked.take());
             assertEquals("after=1&wait_ms=1", platform.asked.poll(Platform.PATIENCE_S, TimeUnit.SECONDS));
