Close an endpoint's connection once its answer exceeds the protocol's bounds

Symptom: an answer that never ends to a call with one message was read, and decoded, for up to 2 s at whatever rate it came; interim (1xx) answers were read for as long as the attempt's patience. On a small share of a core that time is missing for every other message's end.

HostPoolTest.aConnectionWithManyLongAnswersIsUsedOn fails (RESET for OK) without the reset at each call.

At fault: HostPool.Connection.channelRead0 looked at the bytes of bundles' answers only (bodied), and HostPool.stuck begins to count with the head of a final answer.

Ruled out: heads and trailers without end, and lines without end; the decoder bounds them at 8 and 4 KiB. The outcome stays: a first line with 200 to a call with one message is delivered.

The decoder moves to a file of its own.

--- /dev/null
+++ b/src/main/java/wrenkeel/net/AnswerDecoder.java
@@ -0,0 +1,97 @@
+package wrenkeel.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
+import java.util.List;
+import java.util.function.IntConsumer;
+
+/**
+ * Decodes an endpoint's answers. Tells the status of an answer once its first line has been read, and
+ * whether more has come than belongs to it. Closes the connection when one answer exceeds its bounds;
+ * nothing is read after that.
+ */
+final class AnswerDecoder extends HttpResponseDecoder {
+    /** Bytes that an answer's body may hold. */
+    static final int BODY_BYTES_MAX = 64 * 1024;
+    /**
+     * Bytes of one answer in all: its head, its body with the framing of chunks, and the interim answers
+     * before it. A body of the greatest length in chunks of two bytes stays below.
+     */
+    static final int ANSWER_BYTES_MAX = 4 * BODY_BYTES_MAX;
+
+    private final IntConsumer whenBegun;
+    private int answerBytes;
+    private int bodyBytes;
+    private boolean exceeded;
+
+    /** {@code whenBegun}: takes the status of each first line, interim answers included. */
+    AnswerDecoder(IntConsumer whenBegun) {
+        this.whenBegun = whenBegun;
+    }
+
+    /** A request goes out: what is read from now on belongs to its answer. */
+    void expectAnswer() {
+        answerBytes = 0;
+    }
+
+    /** Bytes past the end of the latest answer would be taken for the beginning of the next. */
+    boolean surplus() {
+        return actualReadableBytes() > 0;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
+        answerBytes += ((ByteBuf) bytes).readableBytes();
+        if (answerBytes > ANSWER_BYTES_MAX) {
+            exceeded(context);
+        }
+        if (exceeded) {
+            ReferenceCountUtil.release(bytes);
+        } else {
+            super.channelRead(context, bytes);
+        }
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts) throws Exception {
+        if (exceeded) {
+            bytes.skipBytes(bytes.readableBytes());
+            return;
+        }
+        super.decode(context, bytes, parts);
+        int last = parts.size() - 1;
+        if (last >= 0 && parts.get(last) instanceof HttpContent content) {
+            bodyBytes += content.content().readableBytes();
+            if (bodyBytes > BODY_BYTES_MAX) {
+                ReferenceCountUtil.release(parts.remove(last));
+                exceeded(context);
+            }
+        }
+    }
+
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts)
+        throws Exception {
+        if (!exceeded) {
+            super.decodeLast(context, bytes, parts);
+        }
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] firstLine) {
+        HttpMessage head = super.createMessage(firstLine);
+        bodyBytes = 0;
+        whenBegun.accept(((HttpResponse) head).status().code());
+        return head;
+    }
+
+    private void exceeded(ChannelHandlerContext context) {
+        exceeded = true;
+        context.close();
+    }
+}
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -17,11 +17,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -40,7 +38,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wrenkeel.Relay.Outcome;
@@ -52,8 +49,6 @@
     private static final long IDLE_MARGIN = 1_000, SWEEP = 250;
     /** ns; an answer that has begun and is not at its end by then will not be waited for. */
     private static final long ANSWER_MOST = TimeUnit.SECONDS.toNanos(2);
-    /** Bytes of an answer's body that are read at most; the protocol allows no longer ones. */
-    private static final int BODY_MOST = 64 * 1024;
 
     /** What came back; times in microseconds, {@code left} and {@code limit} -1 if untold. */
     record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit) { }
@@ -346,6 +341,7 @@
             answered = false;
             keep = true;
             next.channel = channel;
+            answers.expectAnswer();
             // The module has been told that these never ran, while the connection was not yet up.
             next.parts.removeIf(part -> part.ended);
             states = null;
@@ -400,10 +396,6 @@
         }
 
         private void bodied(HttpContent content) {
-            if (states.size() + content.content().readableBytes() > BODY_MOST) {
-                channel.close();
-                return;
-            }
             byte[] bytes = ByteBufUtil.getBytes(content.content());
             states.write(bytes, 0, bytes.length);
             if (content instanceof LastHttpContent) {
@@ -435,27 +427,6 @@
         }
     }
 
-    /** Tells the first line of an answer once it is read, and whether more has come than belongs to it. */
-    private static final class AnswerDecoder extends HttpResponseDecoder {
-        private final IntConsumer whenBegun;
-
-        AnswerDecoder(IntConsumer whenBegun) {
-            this.whenBegun = whenBegun;
-        }
-
-        @Override
-        protected HttpMessage createMessage(String[] firstLine) {
-            HttpMessage head = super.createMessage(firstLine);
-            whenBegun.accept(((HttpResponse) head).status().code());
-            return head;
-        }
-
-        /** Bytes past the end of the latest answer would be taken for the beginning of the next. */
-        boolean surplus() {
-            return actualReadableBytes() > 0;
-        }
-    }
-
     private static FullHttpRequest request(Call call) {
         Message first = call.parts.get(0).message;
         byte[] body = call.bundle() ? Bundle.encode(call.parts.stream().map(Part::message).toList())
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -275,6 +275,40 @@
         return "HTTP/1.1 " + status + "\r\n" + header + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** The bounds on an answer's bytes are those of one answer, not of its connection. */
+    @Test
+    void aConnectionWithManyLongAnswersIsUsedOn() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            Socket first = null;
+            for (int i = 0; i < 6; i++) {
+                call(pool, host.port(), LONG, 10);
+                Host.Call call = host.call();
+                first = first == null ? call.socket() : first;
+                assertSame(first, call.socket());
+                call.answer(answer("200 OK", "", "x".repeat(AnswerDecoder.BODY_BYTES_MAX)));
+                assertEquals(Outcome.OK, reply().outcome());
+                while (group.next().submit(() -> pool.idle(listed)).get() == 0) {
+                    Thread.onSpinWait();
+                }
+            }
+        }
+    }
+
+    /** Guards the processor against answers that do not end, whatever they began with. */
+    @ParameterizedTest
+    @CsvSource({"200, OK", "500, ERROR"})
+    void aConnectionWhoseAnswerIsTooLongIsClosed(int status, Outcome outcome) throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), LONG, 10);
+            Host.Call call = host.call();
+            call.answer("HTTP/1.1 " + status + " x\r\nContent-Length: 100000\r\n\r\n"
+                + "x".repeat(AnswerDecoder.BODY_BYTES_MAX + 1));
+            assertEquals(outcome, reply().outcome());
+            assertTrue(host.ended(call));
+        }
+    }
+
     /** A destination that counts calls takes several messages in one; each has a fate of its own. */
     @Test
     void aBundleIsOneCallWhoseAnswerTellsEachFate() throws Exception {
