Report a message given up in a half-written bundle as one that may run

Symptom: a bundle goes out to an endpoint that reads slowly; one of its messages is given up while the others still wait. It was reported as "could not connect", which proves that it never ran, and could be sent again at once. The call went on, its last byte left, and the endpoint ran the message too.

Evidence: HostPoolTest.aMessageGivenUpWhileItsBundleIsHalfWrittenMayRun holds a bundle half written, gives one message up and then reads the whole body, with that message in it. Before: CONNECT_FAILED; now TIMEOUT. theLastMessageGivenUpClosesItsHalfWrittenBundle failed the same way.

At fault: HostPool.Part.giveUp looked at call.written alone.

Ruled out: a call that nobody waits for any more. Its connection is closed in the same step, and of 16 MiB the last byte never leaves: aCallGivenUpWhileItIsHalfWrittenNeverReachesItsEnd (green before as well). Also a message given up before its connection is up: it is taken out of the request (aMessageGivenUpBeforeItsConnectionIsUpDoesNotGoOut).

--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -80,35 +81,43 @@
         }
 
         /** Its time is up. */
-        private void giveUp() {
-            abandon(call.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        void giveUp() {
+            abandon(call.mayRunWithout(this) ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
 
         private void abandon(Outcome outcome) {
             if (!ended) {
-                end(outcome);
+                end(reply(outcome));
                 if (call.over() && call.channel != null) {
                     call.channel.close();
                 }
             }
         }
 
-        /** An answer whose first line said 200 has delivered, whatever became of the rest of it. */
         private void end(Outcome outcome) {
-            end(new Reply(call.delivered ? Outcome.OK : outcome, call.delivered, 0, latency(), -1, -1));
+            end(reply(outcome));
         }
 
         private void end(Reply reply) {
             if (!ended) {
-                ended = true;
-                timer.cancel(false);
-                if (call.over()) {
-                    call.pool.connecting.remove(call);
-                }
+                settle();
                 whenEnded.accept(reply);
             }
         }
 
+        private void settle() {
+            ended = true;
+            timer.cancel(false);
+            if (call.over()) {
+                call.pool.connecting.remove(call);
+            }
+        }
+
+        /** An answer whose first line said 200 has delivered, whatever became of the rest of it. */
+        private Reply reply(Outcome outcome) {
+            return new Reply(call.delivered ? Outcome.OK : outcome, call.delivered, 0, latency(), -1, -1);
+        }
+
         private long latency() {
             return (System.nanoTime() - began) / 1_000;
         }
@@ -120,6 +129,8 @@
         final List<Part> parts;
         final Pool pool;
         Channel channel;
+        /** Bytes of it may have been handed to the socket; all of them, once it is written. */
+        boolean begun;
         boolean written;
         /** The first line of its answer said 200, which settles a call with one message. */
         boolean delivered;
@@ -139,6 +150,11 @@
             return parts.stream().allMatch(part -> part.ended);
         }
 
+        /** True if the endpoint may run a part that is given up now: others keep a call on its way. */
+        boolean mayRunWithout(Part part) {
+            return written || begun && parts.stream().anyMatch(other -> other != part && !other.ended);
+        }
+
         void end(Outcome outcome) {
             parts.forEach(part -> part.end(outcome));
         }
@@ -169,9 +185,15 @@
     /** {@code most}: connections at once, beyond which ones that carry no call are closed. */
     HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive, int most,
              Figures figures) {
+        this(loop, bootstrap, NioSocketChannel::new, connectTimeout, keepAlive, most, figures);
+    }
+
+    /** {@code sockets}: makes the channels of connections; what it throws fails the call. */
+    HostPool(EventLoop loop, Bootstrap bootstrap, ChannelFactory<Channel> sockets, long connectTimeout,
+             long keepAlive, int most, Figures figures) {
         this.loop = loop;
         this.figures = figures;
-        this.bootstrap = bootstrap.clone(loop).channel(NioSocketChannel.class)
+        this.bootstrap = bootstrap.clone(loop).channelFactory(sockets)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
@@ -344,6 +366,7 @@
             answers.expectAnswer();
             // The module has been told that these never ran, while the connection was not yet up.
             next.parts.removeIf(part -> part.ended);
+            next.begun = true;
             states = null;
             pool.connecting.remove(next);
             int messages = next.parts.size();
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -5,9 +5,11 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -382,6 +384,67 @@
         }
     }
 
+    /** A listener whose connections take little unless they are read. */
+    private static ServerSocket slowReader() throws IOException {
+        ServerSocket listener = new ServerSocket();
+        listener.setReceiveBufferSize(4_096);
+        listener.bind(new InetSocketAddress(Platform.LOOPBACK, 0));
+        return listener;
+    }
+
+    /**
+     * Guards against a second run: while the others keep the call on its way, what was given up with its bytes
+     * half written goes out too.
+     */
+    @Test
+    void aMessageGivenUpWhileItsBundleIsHalfWrittenMayRun() throws Exception {
+        try (ServerSocket listener = slowReader()) {
+            HostPool.Part first = part("given-up", null, LONG, 16 << 20);
+            call(pool(KEEP_ALIVE), listener.getLocalPort(), first, part("goes-on", null, LONG, 1));
+            Socket socket = listener.accept();
+            assertTrue(socket.getInputStream().read() >= 0, "a byte of it is out");
+            group.next().submit(first::giveUp).get();
+            assertEquals(Outcome.TIMEOUT, reply().outcome());
+            String head = String.join("\n", Host.head(socket.getInputStream()));
+            int length = Integer.parseInt(head.replaceAll("(?s).*content-length: (\\d+).*", "$1"));
+            String body = new String(socket.getInputStream().readNBytes(length), StandardCharsets.ISO_8859_1);
+            assertTrue(body.contains("given-up") && body.endsWith("]"), "it reached the endpoint");
+            socket.getOutputStream().write(Host.OK.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(Outcome.ERROR, reply().outcome());
+        }
+    }
+
+    /** Guards what "never ran" says: of a request that is half written, the last byte must not leave later. */
+    @Test
+    void aCallGivenUpWhileItIsHalfWrittenNeverReachesItsEnd() throws Exception {
+        try (ServerSocket listener = slowReader()) {
+            int bytes = 16 << 20;
+            HostPool.Part only = part("a", null, LONG, bytes);
+            call(pool(KEEP_ALIVE), listener.getLocalPort(), only);
+            Socket socket = listener.accept();
+            Host.head(socket.getInputStream());
+            group.next().submit(only::giveUp).get();
+            assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+            assertTrue(socket.getInputStream().readAllBytes().length < bytes);
+        }
+    }
+
+    /** Guards the last part of a bundle: with it the call is closed, whoever was given up before. */
+    @Test
+    void theLastMessageGivenUpClosesItsHalfWrittenBundle() throws Exception {
+        try (ServerSocket listener = slowReader()) {
+            HostPool.Part first = part("a", null, LONG, 16 << 20), last = part("b", null, LONG, 1);
+            call(pool(KEEP_ALIVE), listener.getLocalPort(), first, last);
+            Socket socket = listener.accept();
+            Host.head(socket.getInputStream());
+            group.next().submit(first::giveUp).get();
+            group.next().submit(last::giveUp).get();
+            assertEquals(Outcome.TIMEOUT, reply().outcome());
+            assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+            assertTrue(socket.getInputStream().readAllBytes().length < 16 << 20);
+        }
+    }
+
     /** Guards the others in a bundle: giving up one message must not give up their call. */
     @Test
     void oneMessageOfABundleIsCalledOffAlone() throws Exception {
