End a call for which there is no descriptor on the relay's thread

Evidence: HostPoolTest.aCallForWhichThereIsNoDescriptorEndsOnTheRelaysThread, with a factory of channels that throws. Without the check the reply comes off the event loop.

At fault: HostPool.call added a listener to the future of a connect that has no event loop; the library notifies such listeners on its global executor.

--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -235,6 +235,12 @@
         makeRoom();
         pool.connecting.add(call);
         ChannelFuture connect = bootstrap.connect(host.dial);
+        if (!connect.channel().isRegistered()) {
+            // Without a descriptor there is no channel that could be closed, and the listeners of its
+            // future are called on another thread.
+            loop.execute(() -> call.end(Outcome.CONNECT_FAILED));
+            return;
+        }
         call.channel = connect.channel();
         connect.addListener(done -> {
             if (!done.isSuccess()) {
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
@@ -445,6 +446,28 @@
         }
     }
 
+    /** Guards the relay's one thread, and the attempt: a process that has no descriptor left goes on. */
+    @Test
+    void aCallForWhichThereIsNoDescriptorEndsOnTheRelaysThread() throws Exception {
+        HostPool pool = new HostPool(group.next(), new Bootstrap().group(group), () -> {
+            throw new ChannelException("too many open files");
+        }, LONG, KEEP_ALIVE, 100, new Figures());
+        BlockingQueue<Boolean> onThread = new LinkedBlockingQueue<>();
+        HostPool.Part part = new HostPool.Part(part("a", null, LONG, 1).message(), LONG, reply -> {
+            replies.add(reply);
+            onThread.add(group.next().inEventLoop());
+        });
+        call(pool, 9, part);
+        assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+        assertTrue(onThread.take());
+        HostPool.Part takenBack = part("b", null, LONG, 1);
+        group.next().submit(() -> {
+            pool.call(listed, List.of(takenBack));
+            pool.takeBack(listed);
+        }).get();
+        assertEquals(Outcome.NOT_SENT, reply().outcome());
+    }
+
     /** Guards the others in a bundle: giving up one message must not give up their call. */
     @Test
     void oneMessageOfABundleIsCalledOffAlone() throws Exception {
