Close an abandoned call's connection before its end is told

Evidence: HostPoolTest.aConnectionIsClosedThoughTheReplyCannotBeTold; without the change the endpoint never sees the connection's end.

At fault: HostPool.Part.abandon told the reply first and closed after it.

--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -85,12 +85,14 @@
             abandon(call.mayRunWithout(this) ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
 
+        /** The connection closes before the reply is told, so that no byte can leave after it. */
         private void abandon(Outcome outcome) {
             if (!ended) {
-                end(reply(outcome));
+                settle();
                 if (call.over() && call.channel != null) {
                     call.channel.close();
                 }
+                whenEnded.accept(reply(outcome));
             }
         }
 
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -468,6 +469,20 @@
         assertEquals(Outcome.NOT_SENT, reply().outcome());
     }
 
+    /** Guards the connection against a fault in what hears of the end. */
+    @Test
+    void aConnectionIsClosedThoughTheReplyCannotBeTold() throws Exception {
+        try (Host host = new Host()) {
+            HostPool.Part part = new HostPool.Part(part("a", null, LONG, 1).message(), LONG, reply -> {
+                throw new IllegalStateException("forced by the test");
+            });
+            call(pool(KEEP_ALIVE), host.port(), part);
+            Host.Call call = host.call();
+            assertThrows(ExecutionException.class, () -> group.next().submit(part::giveUp).get());
+            assertTrue(host.ended(call));
+        }
+    }
+
     /** Guards the others in a bundle: giving up one message must not give up their call. */
     @Test
     void oneMessageOfABundleIsCalledOffAlone() throws Exception {
