Hold connections to endpoints to their share of the descriptors

Symptom: the share bound only connections that were idle.

Evidence: HostPoolTest.aCallOverTheShareWaitsUntilAConnectionIsFree (4 connections held where 2 are allowed), aCallThatWaitsForAFreeConnectionIsGivenUpOrTakenBackUnsent and aConnectionWhoseCallIsOverGivesWayThoughItsAnswerIsNotAtItsEnd (2 for 1). All three fail without the bound. aConnectionThatNeverComesUpIsLetGoWithItsCall holds a connection that never comes up: its place is free as soon as its last message is given up (green before as well, but for the count).

At fault: HostPool.makeRoom went on where nothing was idle, and did not look at connections whose call is over and whose answer still comes in.

Such a call now waits, in order, for a connection: it has not begun, so it is taken back or given up as one that never ran. Failing it at once was ruled out: the module would try again in its next turn and use up the message's attempts. The count of connections is kept, no longer a sum over all pools for each call.

--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -31,14 +31,15 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wrenkeel.Relay.Outcome;
@@ -181,10 +182,19 @@
     private final Bootstrap bootstrap;
     private long idleLimit;
     private final Figures figures;
+    /** Connections at once, those that are still to come up included; and how many there are. */
     private int most;
+    private int held;
     private final Map<Long, Pool> pools = new HashMap<>();
+    /** All idle connections, the one idle for the longest first. */
+    private final Set<Connection> resting = new LinkedHashSet<>();
+    /** Calls that wait until there may be one more connection, the longest first. */
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
 
-    /** {@code most}: connections at once, beyond which ones that carry no call are closed. */
+    /**
+     * {@code most}: connections at once. Beyond that, ones that carry no call are closed; where all carry
+     * one, further calls wait, each for its patience.
+     */
     HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive, int most,
              Figures figures) {
         this(loop, bootstrap, NioSocketChannel::new, connectTimeout, keepAlive, most, figures);
@@ -214,6 +224,7 @@
         long millis = keepAlive / 1_000;
         idleLimit = TimeUnit.MILLISECONDS.toNanos(Math.max(millis / 2, millis - IDLE_MARGIN));
         bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000));
+        roomMayBeFree();
     }
 
     private Pool pool(HostList.Host host) {
@@ -227,23 +238,53 @@
         for (Part part : call.parts) {
             part.timer = loop.schedule(part::giveUp, part.patience, TimeUnit.MICROSECONDS);
         }
-        for (Connection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
-            if (c.usable(host)) {
-                c.begin(call);
-                return;
+        pool.connecting.add(call);
+        waiting.removeIf(Call::over);
+        if (!waiting.isEmpty() || !dispatch(call)) {
+            waiting.addLast(call);
+        }
+    }
+
+    /** Begins a call on an idle connection or a new one; false if there may be none now. */
+    private boolean dispatch(Call call) {
+        Connection idle = idleConnection(call);
+        if (idle != null) {
+            idle.begin(call);
+            return true;
+        }
+        if (!makeRoom()) {
+            return false;
+        }
+        connect(call);
+        return true;
+    }
+
+    /** The connection to the call's host that was used last; null if none can be used. */
+    private Connection idleConnection(Call call) {
+        for (Connection c = call.pool.idle.pollLast(); c != null; c = call.pool.idle.pollLast()) {
+            resting.remove(c);
+            if (c.usable(call.host)) {
+                return c;
             }
             c.channel.close();
         }
-        makeRoom();
-        pool.connecting.add(call);
-        ChannelFuture connect = bootstrap.connect(host.dial);
+        return null;
+    }
+
+    private void connect(Call call) {
+        ChannelFuture connect = bootstrap.connect(call.host.dial);
         if (!connect.channel().isRegistered()) {
             // Without a descriptor there is no channel that could be closed, and the listeners of its
             // future are called on another thread.
             loop.execute(() -> call.end(Outcome.CONNECT_FAILED));
             return;
         }
+        held++;
         call.channel = connect.channel();
+        call.channel.closeFuture().addListener(closed -> {
+            held--;
+            roomMayBeFree();
+        });
         connect.addListener(done -> {
             if (!done.isSuccess()) {
                 call.end(Outcome.CONNECT_FAILED);
@@ -251,21 +292,51 @@
                 call.channel.close();
             } else {
                 Connection c = call.channel.pipeline().get(Connection.class);
-                c.pool = pool;
-                pool.open.add(c);
+                c.pool = call.pool;
+                call.pool.open.add(c);
                 c.begin(call);
             }
         });
     }
 
-    /** Guards the descriptors: before one more connection, the one idle for the longest goes. */
-    private void makeRoom() {
-        int held = pools.values().stream().mapToInt(pool -> pool.open.size() + pool.connecting.size()).sum();
-        if (held >= most) {
-            pools.values().stream().filter(pool -> !pool.idle.isEmpty())
-                .min(Comparator.comparingLong(pool -> pool.idle.peekFirst().idleSince))
-                .ifPresent(pool -> pool.idle.pollFirst().channel.close());
+    /** Guards the descriptors: true if there may be one more connection, for which others may be closed. */
+    private boolean makeRoom() {
+        while (held >= most) {
+            Connection spare = spare();
+            if (spare == null) {
+                return false;
+            }
+            resting.remove(spare);
+            spare.channel.close();
         }
+        return true;
+    }
+
+    /** The connection idle for the longest, else one whose call is over and whose answer still comes in. */
+    private Connection spare() {
+        Stream<Connection> finishing = pools.values().stream().flatMap(pool -> pool.open.stream())
+            .filter(c -> c.call != null && c.call.over());
+        return Stream.concat(resting.stream(), finishing).filter(c -> c.channel.isActive()).findFirst()
+            .orElse(null);
+    }
+
+    /** A connection was closed, or carries no call any more. */
+    private void roomMayBeFree() {
+        if (!waiting.isEmpty()) {
+            loop.execute(this::dispatchWaiting);
+        }
+    }
+
+    private void dispatchWaiting() {
+        waiting.removeIf(Call::over);
+        while (!waiting.isEmpty() && dispatch(waiting.peekFirst())) {
+            waiting.removeFirst();
+        }
+    }
+
+    /** How many connections there are, those that are still to come up included. */
+    int held() {
+        return held;
     }
 
     /**
@@ -411,6 +482,8 @@
                 idleSince = System.nanoTime();
                 if (keep && !answers.surplus()) {
                     pool.idle.addLast(this);
+                    resting.add(this);
+                    roomMayBeFree();
                 } else {
                     channel.close();
                 }
@@ -423,6 +496,7 @@
                 states = new ByteArrayOutputStream();
             } else {
                 call.parts.forEach(part -> part.end(Answers.reply(head, part.latency())));
+                roomMayBeFree();
             }
         }
 
@@ -442,6 +516,7 @@
             if (pool != null) {
                 pool.open.remove(this);
                 pool.idle.remove(this);
+                resting.remove(this);
             }
             if (call != null) {
                 call.end(call.written ? Outcome.RESET : Outcome.CONNECT_FAILED);
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -6,10 +6,12 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -100,6 +102,101 @@
         }
     }
 
+    private HostPool narrow(int connections) {
+        return new HostPool(group.next(), new Bootstrap().group(group), LONG, KEEP_ALIVE, connections,
+            new Figures());
+    }
+
+    private void callOther(HostPool pool, int number, Host host, HostPool.Part part) throws Exception {
+        HostList.Host other = new HostList.Host(number, "s-" + number);
+        other.dial = new InetSocketAddress(Platform.LOOPBACK, host.port());
+        group.next().submit(() -> pool.call(other, List.of(part))).get();
+    }
+
+    private int held(HostPool pool) throws Exception {
+        return group.next().submit(pool::held).get();
+    }
+
+    /** Guards the descriptors: where each connection carries a call, one more call waits for one of them. */
+    @Test
+    void aCallOverTheShareWaitsUntilAConnectionIsFree() throws Exception {
+        try (Host first = new Host(); Host second = new Host(); Host third = new Host()) {
+            HostPool pool = narrow(2);
+            callOther(pool, 1, first, part("a", null, LONG, 10));
+            callOther(pool, 2, second, part("b", null, LONG, 10));
+            callOther(pool, 3, third, part("c", null, LONG, 10));
+            callOther(pool, 3, third, part("d", null, LONG, 10));
+            assertEquals(2, held(pool));
+            first.call().answer(Host.OK);
+            Host.Call next = third.call();
+            assertEquals("c", next.header("X-Request-ID"));
+            assertEquals(2, held(pool));
+            next.answer(Host.OK);
+            Host.Call last = third.call();
+            assertEquals("d", last.header("X-Request-ID"));
+            assertSame(next.socket(), last.socket(), "the free connection leads where it wants to go");
+        }
+    }
+
+    /** Guards the message: a call that waits for a connection has not begun, and ends once. */
+    @Test
+    void aCallThatWaitsForAFreeConnectionIsGivenUpOrTakenBackUnsent() throws Exception {
+        try (Host first = new Host(); Host second = new Host()) {
+            HostPool pool = narrow(1);
+            callOther(pool, 1, first, part("a", null, LONG, 10));
+            Host.Call out = first.call();
+            HostPool.Part late = part("late", null, LONG, 10);
+            callOther(pool, 2, second, late);
+            group.next().submit(late::giveUp).get();
+            assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+            call(pool, second.port(), part("back", null, LONG, 10));
+            group.next().submit(() -> pool.takeBack(listed)).get();
+            assertEquals(Outcome.NOT_SENT, reply().outcome());
+            callOther(pool, 2, second, part("goes", null, LONG, 10));
+            out.answer(Host.OK);
+            assertEquals(Outcome.OK, reply().outcome());
+            assertEquals("goes", second.call().header("X-Request-ID"));
+            assertEquals(1, held(pool));
+            assertTrue(replies.isEmpty());
+        }
+    }
+
+    /** Guards calls against answers that never end: once its call is over, such a connection gives way. */
+    @Test
+    void aConnectionWhoseCallIsOverGivesWayThoughItsAnswerIsNotAtItsEnd() throws Exception {
+        try (Host first = new Host(); Host second = new Host()) {
+            HostPool pool = narrow(1);
+            callOther(pool, 1, first, part("a", null, LONG, 10));
+            Host.Call slow = first.call();
+            callOther(pool, 2, second, part("b", null, LONG, 10));
+            slow.answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi");
+            assertEquals(Outcome.OK, reply().outcome());
+            assertEquals("b", second.call().header("X-Request-ID"));
+            assertEquals(1, held(pool));
+            assertTrue(first.ended(slow));
+        }
+    }
+
+    /** A machine that vanished says nothing: the connection neither comes up nor fails. */
+    @Test
+    void aConnectionThatNeverComesUpIsLetGoWithItsCall() throws Exception {
+        HostPool pool = new HostPool(group.next(), new Bootstrap().group(group), () -> new NioSocketChannel() {
+            @Override
+            protected boolean doConnect(SocketAddress remote, SocketAddress local) {
+                return false;
+            }
+        }, LONG, KEEP_ALIVE, 100, new Figures());
+        HostPool.Part first = part("a", null, LONG, 10), second = part("b", null, LONG, 10);
+        call(pool, 9, first, second);
+        group.next().submit(first::giveUp).get();
+        assertEquals(1, held(pool), "the other still waits");
+        group.next().submit(second::giveUp).get();
+        assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+        assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+        assertEquals(0, held(pool));
+        assertTrue(replies.isEmpty());
+    }
+
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
         int port;
