Keep descriptors for the process itself whatever the slots and the limit are

Symptom: the hosts' share was 5/4 of the slots without an upper bound. A limit too small for any connection, or negative, was taken as it was.

Ruled out: clients' part.

--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -28,6 +28,7 @@
 
     /** us; taken off a key's window besides: for the way to the host. */
     private static final long WINDOW_MARGIN = 100_000;
+    private static final long SOCKETS_DEFAULT = 1_024;
 
     /** A configuration that no relay can run with; the message is one plain line. */
     static final class Unusable extends Exception {
@@ -55,7 +56,7 @@
                 address(env.getOrDefault("EDGE_LISTEN", all.text("listen", ""))),
                 address(env.getOrDefault("EDGE_DISCOVERY", all.text("discovery", ""))),
                 console(env.getOrDefault("EDGE_CONSOLE", all.text("console", null))), folder(state),
-                seed(all.text("seed", "0")), (int) limits.whole("sockets", 1024),
+                seed(all.text("seed", "0")), sockets(limits.whole("sockets", SOCKETS_DEFAULT)),
                 (long) (limits.number("disk_mb", 3) * 1_000_000), usable(Wire.settings(settings)),
                 names(settings, "localities"), names(settings, "kinds"), listed(all, known[0]), all);
         } catch (Wire.Malformed e) {
@@ -122,6 +123,15 @@
         return folder;
     }
 
+    /** Fewer would leave no connection for clients or for hosts. */
+    private static int sockets(long limit) throws Unusable {
+        if (limit < Descriptors.LIMIT_LEAST || limit > Integer.MAX_VALUE) {
+            throw new Unusable("limits.sockets is " + limit + ", at least " + Descriptors.LIMIT_LEAST
+                + " are needed");
+        }
+        return (int) limit;
+    }
+
     private static long seed(String hex) throws Unusable {
         try {
             return Long.parseUnsignedLong(hex, 16);
--- /dev/null
+++ b/src/test/java/wrenkeel/net/DescriptorsTest.java
@@ -0,0 +1,28 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The shares of all sides together stay within what the process may hold. */
+class DescriptorsTest {
+    /** Guards the watch, the notices, the journal and the operators against crowds and wide settings. */
+    @ParameterizedTest
+    @ValueSource(ints = {Descriptors.LIMIT_LEAST, 128, 192, 256, 384, 1_024})
+    void theSharesStayBelowTheLimitHoweverManySlotsThereAre(int limit) {
+        for (int slots = 1; slots <= 4_096; slots++) {
+            Descriptors shares = Descriptors.of(limit, slots);
+            assertTrue(shares.clients() > 0 && shares.clients() <= limit / 3);
+            assertTrue(shares.hosts() > 0);
+            assertTrue(shares.clients() + shares.hosts() + Descriptors.RESERVED <= limit,
+                limit + " descriptors, " + slots + " slots: " + shares);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 8, 64, 80})
+    void slotsThatFitAllHaveAConnection(int slots) {
+        assertTrue(Descriptors.of(256, slots).hosts() >= slots + slots / 4);
+    }
+}
