--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -43,7 +43,7 @@
     static Config read(Map<String, String> env) throws Unusable {
         String file = env.get("EDGE_CONFIG");
         String state = env.get("EDGE_STATE");
-        if (file == null || state == null) {
+        if (file == null || file.isEmpty() || state == null || state.isEmpty()) {
             throw new Unusable("EDGE_CONFIG and EDGE_STATE must be set");
         }
         KnownList[] known = {new KnownList(Path.of(file), 0, 0)};
