Start though something else stands in the place of a file of the lasting folder

Evidence: StateFolderTest.aFolderNamedLikeTheJournalOfAReleaseBeforeIsLeftAlone, knowledgeThatCannotBeReadIsDoneWithout and whatStandsInAFileThatCannotBeDeletedIsTakenOverOnce, with folders that cannot be read, written or deleted like a file. All three fail without the change.

--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -223,8 +223,8 @@
         records.writeBytes(record(ABSORBED, legacy.number(), o -> { }));
         write(out, records.toByteArray());
         size = out.position();
-        legacies.remove(legacy);
         legacy.earlier.delete();
+        legacies.remove(legacy);
     }
 
     /** In one write: a message that is taken over without its attempts could run twice. */
--- a/src/main/java/wrenkeel/net/Tenure.java
+++ b/src/main/java/wrenkeel/net/Tenure.java
@@ -15,12 +15,15 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * This process among those that share the lasting folder. Each has a number, higher than any before it, and a
  * file {@code relay.N} that it keeps locked: the lock is free once the process has ended, however it ended.
  */
 final class Tenure implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Tenure.class);
     private static final String LOCK = "relay", JOURNAL = "journal", KNOWLEDGE = "leaving";
 
     private final Path folder;
@@ -47,9 +50,10 @@
                 Tenure tenure = new Tenure(folder, next, lock);
                 before.stream().distinct().sorted().map(n -> new Earlier(folder, n))
                     .filter(Earlier::hasFiles).forEach(tenure.earlier::add);
-                if (Files.exists(folder.resolve(JOURNAL))) {
+                Earlier unnumbered = new Earlier(folder, 0);
+                if (Files.exists(folder.resolve(JOURNAL)) && unnumbered.hasFiles()) {
                     // Written by a release that had one file and no number.
-                    tenure.earlier.add(0, new Earlier(folder, 0));
+                    tenure.earlier.add(0, unnumbered);
                 }
                 return tenure;
             } catch (FileAlreadyExistsException e) {
@@ -167,22 +171,37 @@
                 return new String(Files.readAllBytes(file(KNOWLEDGE)), StandardCharsets.UTF_8);
             } catch (NoSuchFileException e) {
                 return null;
+            } catch (IOException e) {
+                LOG.warn("what process {} left cannot be read, done without: {}", number, e.toString());
+                return "";
             }
         }
 
         /** Tells it that another process serves now. */
-        void heard() throws IOException {
-            Files.deleteIfExists(file(KNOWLEDGE));
+        void heard() {
+            deleteOrTell(KNOWLEDGE);
         }
 
-        /** It has ended, and nothing in its files is needed any more; the lock goes last. */
+        /**
+         * It has ended, and nothing in its files is needed any more. The journal must go, lest it be read
+         * again; the lock goes last.
+         */
         void delete() throws IOException {
-            for (String name : List.of(JOURNAL + ".new", JOURNAL, KNOWLEDGE + ".new", KNOWLEDGE, LOCK)) {
-                Files.deleteIfExists(file(name));
+            Files.deleteIfExists(file(JOURNAL));
+            for (String name : List.of(JOURNAL + ".new", KNOWLEDGE + ".new", KNOWLEDGE, LOCK)) {
+                deleteOrTell(name);
             }
             close();
         }
 
+        private void deleteOrTell(String name) {
+            try {
+                Files.deleteIfExists(file(name));
+            } catch (IOException e) {
+                LOG.warn("a file of process {} stays: {}", number, e.toString());
+            }
+        }
+
         @Override
         public void close() throws IOException {
             if (lock != null) {
