End the start in one line where the lasting folder leaves no number

Evidence: StateFolderTest.aNumberThatLeavesNoneAboveItEndsTheStartInOnePlainLine ran into its time limit of 120 s before.

At fault: the loop of Tenure.begin, with the pattern of Tenure.numbers.

--- a/src/main/java/wrenkeel/net/Tenure.java
+++ b/src/main/java/wrenkeel/net/Tenure.java
@@ -25,6 +25,8 @@
 final class Tenure implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Tenure.class);
     private static final String LOCK = "relay", JOURNAL = "journal", KNOWLEDGE = "leaving";
+    /** The highest number, of 18 digits: files with longer ones are not looked for. */
+    private static final long NUMBER_MOST = 999_999_999_999_999_999L;
 
     private final Path folder;
     private final long number;
@@ -42,7 +44,12 @@
         while (true) {
             List<Long> before = numbers(folder, LOCK);
             before.addAll(numbers(folder, JOURNAL));
-            long next = before.stream().mapToLong(n -> n).max().orElse(0) + 1;
+            long latest = before.stream().mapToLong(n -> n).max().orElse(0);
+            if (latest == NUMBER_MOST) {
+                throw new IOException(folder + " holds a file with the number " + latest
+                    + ", none is left above it");
+            }
+            long next = latest + 1;
             try {
                 FileChannel lock = FileChannel.open(folder.resolve(LOCK + "." + next),
                     StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
--- a/src/test/java/wrenkeel/net/StateFolderTest.java
+++ b/src/test/java/wrenkeel/net/StateFolderTest.java
@@ -121,4 +121,12 @@
         }
         assertEquals(List.of(), owed());
     }
+
+    /** Guards the start against standing still: no number above such a one would be seen by the next start. */
+    @Test
+    void aNumberThatLeavesNoneAboveItEndsTheStartInOnePlainLine() throws Exception {
+        Files.createFile(state.resolve("journal.999999999999999999"));
+        assertStartFailsNaming("999999999999999999");
+        assertStartFailsNaming("999999999999999999");
+    }
 }
