--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -37,7 +37,14 @@
  */
 final class Journal implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
-    private static final int HEAD = 8, RECORD_MOST = 1 << 20;
+    private static final int HEAD = 8;
+    /** Bytes of a content at most: a body of 64 KiB, and ids, keys and rules far shorter than that. */
+    private static final int RECORD_MOST = 128 * 1024;
+    /**
+     * Bytes that are checked in vain at most for one file. Any place in a damaged stretch may look like the
+     * head of a long record; the start must not stand still over that.
+     */
+    private static final long CHECKED_IN_VAIN_MOST = 64 << 20;
     /** Bytes of a content's sort and number. */
     private static final int LEAST = 9;
     /** Bytes kept clear of the limit, for what the file system rounds up. */
@@ -441,6 +448,7 @@
         final Map<String, Long> waits = new HashMap<>();
         boolean ended;
         long size;
+        private long checkedInVain;
 
         Legacy(Tenure.Earlier earlier) {
             this.earlier = earlier;
@@ -464,10 +472,12 @@
                     return;
                 }
                 if (content == null) {
-                    unfinished = unread == 0 ? unfinished(in) : unfinished;
-                    in.get();
-                    unread++;
-                    size++;
+                    boolean givenUp = checkedInVain > CHECKED_IN_VAIN_MOST;
+                    unfinished = !givenUp && (unread == 0 ? unfinished(in) : unfinished);
+                    int passed = givenUp ? in.remaining() : 1;
+                    in.position(in.position() + passed);
+                    unread += passed;
+                    size += passed;
                     continue;
                 }
                 if (unread > 0) {
@@ -485,22 +495,22 @@
         }
 
         /** The next record's content; null, and nothing taken, if no whole one that checks stands here. */
-        private static byte[] content(ByteBuffer in) {
+        private byte[] content(ByteBuffer in) {
             if (in.remaining() < HEAD) {
                 return null;
             }
-            in.mark();
-            int length = in.getInt();
-            int check = in.getInt();
-            if (length >= LEAST && length <= RECORD_MOST && length <= in.remaining()) {
-                byte[] content = new byte[length];
-                in.get(content);
-                if (crc(content) == check) {
-                    return content;
-                }
+            int begin = in.position();
+            int length = in.getInt(begin);
+            if (length < LEAST || length > RECORD_MOST || length > in.remaining() - HEAD) {
+                return null;
             }
-            in.reset();
-            return null;
+            if (crc(in.slice(begin + HEAD, length)) != in.getInt(begin + Integer.BYTES)) {
+                checkedInVain += length;
+                return null;
+            }
+            byte[] content = new byte[length];
+            in.position(begin + HEAD).get(content);
+            return content;
         }
 
         private static boolean unfinished(ByteBuffer in) {
@@ -583,8 +593,9 @@
         out.writeLong(number);
         body.write(out);
         byte[] bytes = content.toByteArray();
-        return ByteBuffer.allocate(HEAD + bytes.length).putInt(bytes.length).putInt(crc(bytes))
-            .put(bytes).array();
+        int check = crc(ByteBuffer.wrap(bytes));
+        return ByteBuffer.allocate(HEAD + bytes.length).putInt(bytes.length).putInt(check).put(bytes)
+            .array();
     }
 
     private static byte[] origin(Origin origin) throws IOException {
@@ -659,7 +670,7 @@
         return in.readBoolean() ? in.readUTF() : null;
     }
 
-    private static int crc(byte[] bytes) {
+    private static int crc(ByteBuffer bytes) {
         CRC32 crc = new CRC32();
         crc.update(bytes);
         return (int) crc.getValue();
--- a/src/test/java/wrenkeel/net/StateFolderTest.java
+++ b/src/test/java/wrenkeel/net/StateFolderTest.java
@@ -129,4 +129,15 @@
         assertStartFailsNaming("999999999999999999");
         assertStartFailsNaming("999999999999999999");
     }
+
+    /** Guards the start: garbage in which each place could begin a long record is passed over in time. */
+    @Test
+    void garbageThatLooksLikeLongRecordsIsPassedOver() throws Exception {
+        byte[] garbage = new byte[(int) LIMIT];
+        for (int i = 1; i < garbage.length; i += 2) {
+            garbage[i] = 0x0f;
+        }
+        Files.write(state.resolve("journal.1"), garbage);
+        assertTimeoutPreemptively(java.time.Duration.ofSeconds(60), () -> assertEquals(List.of(), owed()));
+    }
 }
