Believe neither of two states that a bundle's answer names for one message

Symptom: where the answer to a call with several messages names one of them twice, the later state held. If that was "deferred", "expired" or "no_more" after "fault", a message that may have run counted as one that never did, and one that may not be repeated could be sent again.

Evidence: HostPoolTest.aMessageThatABundlesAnswerNamesTwiceDifferentlyMayHaveRun; four cases gave FULL, NOT_SENT, NOT_SENT and OK for ERROR.

At fault: Answers.states put the states into a map one over the other.

Ruled out: an answer spoilt for one part in another way fails for all, as one that cannot be read (aBundleSharesTheFateOfItsCall), one that breaks off may have run (aBundleWhoseAnswerBreaksOffMayHaveRun), and of one that never ends each part is given up once, with the last of them the connection is closed and its place is free (aBundleWhoseAnswerNeverEndsIsGivenUpAndItsConnectionClosed).

--- a/src/main/java/wrenkeel/net/Answers.java
+++ b/src/main/java/wrenkeel/net/Answers.java
@@ -10,6 +10,9 @@
 
 /** The protocol's table of what a host's answer means. */
 final class Answers {
+    /** No state of the protocol: the message may have run. */
+    private static final String CONTRADICTED = "contradicted";
+
     private Answers() { }
 
     static HostPool.Reply reply(HttpResponse answer, long latency) {
@@ -51,12 +54,16 @@
             micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)), latency);
     }
 
-    /** The states by message that the body of a bundle's answer names; none if it cannot be read. */
+    /**
+     * The states by message that the body of a bundle's answer names; none if it cannot be read. A message
+     * that it names with two states has none that could be believed.
+     */
     static Map<String, String> states(byte[] body) {
         Map<String, String> states = new HashMap<>();
         try {
             for (Wire.Fields entry : Wire.decodeArray(new String(body, StandardCharsets.UTF_8))) {
-                states.put(entry.text("id"), entry.text("state"));
+                states.merge(entry.text("id"), entry.text("state"),
+                    (one, other) -> one.equals(other) ? one : CONTRADICTED);
             }
         } catch (Wire.Malformed e) {
             return Map.of();
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -438,6 +438,38 @@
         }
     }
 
+    /** Guards against a second run: of two states the one that says "never ran" must not be picked. */
+    @ParameterizedTest
+    @ValueSource(strings = {"deferred", "expired", "no_more", "accepted"})
+    void aMessageThatABundlesAnswerNamesTwiceDifferentlyMayHaveRun(String other) throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), part("a", null, LONG, 2), part("b", null, LONG, 2));
+            host.call().answer(answer("200 OK", "", "[{\"id\":\"a\",\"state\":\"fault\"},"
+                + "{\"id\":\"b\",\"state\":\"accepted\"},{\"id\":\"a\",\"state\":\"" + other + "\"}]"));
+            assertEquals(Outcome.ERROR, reply().outcome());
+            assertEquals(Outcome.OK, reply().outcome());
+        }
+    }
+
+    /** Guards the slot: whatever has come of a bundle's answer, each message is given up in its time, once. */
+    @Test
+    void aBundleWhoseAnswerNeverEndsIsGivenUpAndItsConnectionClosed() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            HostPool.Part first = part("a", null, LONG, 2), second = part("b", null, LONG, 2);
+            call(pool, host.port(), first, second);
+            Host.Call call = host.call();
+            call.answer("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n[{\"id\":\"a\",\"state\":\"accepted\"},");
+            group.next().submit(first::giveUp).get();
+            assertEquals(Outcome.TIMEOUT, reply().outcome());
+            group.next().submit(second::giveUp).get();
+            assertEquals(Outcome.TIMEOUT, reply().outcome());
+            assertEquals(0, held(pool));
+            assertTrue(host.ended(call));
+            assertTrue(replies.isEmpty());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"429 Too Many Requests, '', FULL", "500 Internal Server Error, '', ERROR", "200 OK, nonsense, ERROR",
         "200 OK, '{}', ERROR", "200 OK, '[{\"id\":\"a\"}]', ERROR"})
