Tell the end of a message that is called off before its call is made

Symptom: an attempt cancelled in the turn that asks for it was marked as ended and then met a fault, for it had no timer and no call yet: its end was never told, so its slot stayed taken, and where it was alone the call would have gone out with no message in it, which ended the turn with a fault.

Evidence: HostPoolTest.aMessageCalledOffBeforeItsCallIsMadeDoesNotGoOut; a NullPointerException before. No turn was seen in which the module does this.

At fault: HostPool.Part.abandon and HostPool.call.

--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -90,7 +90,7 @@
         private void abandon(Outcome outcome) {
             if (!ended) {
                 settle();
-                if (call.over() && call.channel != null) {
+                if (call != null && call.over() && call.channel != null) {
                     call.channel.close();
                 }
                 whenEnded.accept(reply(outcome));
@@ -110,6 +110,10 @@
 
         private void settle() {
             ended = true;
+            if (call == null) {
+                // Called off in the turn that asked for it, before its call was made.
+                return;
+            }
             timer.cancel(false);
             if (call.over()) {
                 call.pool.connecting.remove(call);
@@ -118,7 +122,8 @@
 
         /** An answer whose first line said 200 has delivered, whatever became of the rest of it. */
         private Reply reply(Outcome outcome) {
-            return new Reply(call.delivered ? Outcome.OK : outcome, call.delivered, 0, latency(), -1, -1);
+            boolean delivered = call != null && call.delivered;
+            return new Reply(delivered ? Outcome.OK : outcome, delivered, 0, latency(), -1, -1);
         }
 
         private long latency() {
@@ -231,10 +236,15 @@
         return pools.computeIfAbsent(host.number, n -> new Pool());
     }
 
-    /** Begins one call that carries these parts. */
+    /** Begins one call that carries these parts, but for those that have been called off. */
     void call(HostList.Host host, List<Part> parts) {
+        List<Part> wanted = new ArrayList<>(parts);
+        wanted.removeIf(part -> part.ended);
+        if (wanted.isEmpty()) {
+            return;
+        }
         Pool pool = pool(host);
-        Call call = new Call(host, new ArrayList<>(parts), pool);
+        Call call = new Call(host, wanted, pool);
         for (Part part : call.parts) {
             part.timer = loop.schedule(part::giveUp, part.patience, TimeUnit.MICROSECONDS);
         }
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -612,6 +612,27 @@
         }
     }
 
+    /** Guards against an empty request, and against an end that is never told. */
+    @Test
+    void aMessageCalledOffBeforeItsCallIsMadeDoesNotGoOut() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            HostPool.Part alone = part("alone", null, LONG, 1), first = part("first", null, LONG, 1);
+            group.next().submit(alone::cancel).get();
+            group.next().submit(first::cancel).get();
+            assertEquals(Outcome.CANCELLED, reply().outcome());
+            assertEquals(Outcome.CANCELLED, reply().outcome());
+            call(pool, host.port(), alone);
+            assertEquals(0, held(pool));
+            call(pool, host.port(), first, part("second", null, LONG, 1));
+            Host.Call call = host.call();
+            assertEquals("second", call.header("X-Request-ID"));
+            call.answer(Host.OK);
+            assertEquals(Outcome.OK, reply().outcome());
+            assertTrue(replies.isEmpty());
+        }
+    }
+
     /** Guards the others in a bundle: giving up one message must not give up their call. */
     @Test
     void oneMessageOfABundleIsCalledOffAlone() throws Exception {
