--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
@@ -12,18 +11,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
@@ -167,8 +161,12 @@
             parts.forEach(part -> part.end(outcome));
         }
 
+        FullHttpRequest request() {
+            return CallRequest.encode(host.dial, parts.stream().map(Part::message).toList(), left());
+        }
+
         /** ms until the last of its parts stops waiting. */
-        long left() {
+        private long left() {
             long most = parts.stream().mapToLong(part -> part.patience - part.latency()).max().orElse(0);
             return Math.max(1, most / 1_000);
         }
@@ -461,7 +459,7 @@
             int messages = next.parts.size();
             // The promise of a write is kept when its last byte has been handed to the socket: from then on
             // the call may run, before that it cannot.
-            channel.writeAndFlush(request(next)).addListener(done -> {
+            channel.writeAndFlush(next.request()).addListener(done -> {
                 next.written = done.isSuccess();
                 if (done.isSuccess()) {
                     figures.sent(messages);
@@ -542,25 +540,4 @@
             context.close();
         }
     }
-
-    private static FullHttpRequest request(Call call) {
-        Message first = call.parts.get(0).message;
-        byte[] body = call.bundle() ? Bundle.encode(call.parts.stream().map(Part::message).toList())
-            : first.body();
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-            call.bundle() ? "/v1/messages:batch" : "/v1/messages", Unpooled.wrappedBuffer(body));
-        request.headers().set(HttpHeaderNames.HOST,
-                call.host.dial.getAddress().getHostAddress() + ":" + call.host.dial.getPort())
-            .set("X-Timeout-Ms", call.left())
-            .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        if (call.bundle()) {
-            request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-            return request;
-        }
-        request.headers().set("X-Request-ID", first.id());
-        if (first.idempotencyKey() != null) {
-            request.headers().set("Idempotency-Key", first.idempotencyKey());
-        }
-        return request;
-    }
 }
