--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -2,8 +2,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -11,20 +11,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
@@ -32,15 +25,15 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wrenkeel.Relay.Outcome;
@@ -52,8 +45,6 @@
     private static final long IDLE_MARGIN = 1_000, SWEEP = 250;
     /** ns; an answer that has begun and is not at its end by then will not be waited for. */
     private static final long ANSWER_MOST = TimeUnit.SECONDS.toNanos(2);
-    /** Bytes of an answer's body that are read at most; the protocol allows no longer ones. */
-    private static final int BODY_MOST = 64 * 1024;
 
     /** What came back; times in microseconds, {@code left} and {@code limit} -1 if untold. */
     record Reply(Outcome outcome, boolean over, long waitFor, long latency, double left, double limit) { }
@@ -85,35 +76,50 @@
         }
 
         /** Its time is up. */
-        private void giveUp() {
-            abandon(call.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        void giveUp() {
+            abandon(call.mayRunWithout(this) ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
 
+        /** The connection closes before the reply is told, so that no byte can leave after it. */
         private void abandon(Outcome outcome) {
             if (!ended) {
-                end(outcome);
-                if (call.over() && call.channel != null) {
+                settle();
+                if (call != null && call.over() && call.channel != null) {
                     call.channel.close();
                 }
+                whenEnded.accept(reply(outcome));
             }
         }
 
-        /** An answer whose first line said 200 has delivered, whatever became of the rest of it. */
         private void end(Outcome outcome) {
-            end(new Reply(call.delivered ? Outcome.OK : outcome, call.delivered, 0, latency(), -1, -1));
+            end(reply(outcome));
         }
 
         private void end(Reply reply) {
             if (!ended) {
-                ended = true;
-                timer.cancel(false);
-                if (call.over()) {
-                    call.pool.connecting.remove(call);
-                }
+                settle();
                 whenEnded.accept(reply);
             }
         }
 
+        private void settle() {
+            ended = true;
+            if (call == null) {
+                // Called off in the turn that asked for it, before its call was made.
+                return;
+            }
+            timer.cancel(false);
+            if (call.over()) {
+                call.pool.connecting.remove(call);
+            }
+        }
+
+        /** An answer whose first line said 200 has delivered, whatever became of the rest of it. */
+        private Reply reply(Outcome outcome) {
+            boolean delivered = call != null && call.delivered;
+            return new Reply(delivered ? Outcome.OK : outcome, delivered, 0, latency(), -1, -1);
+        }
+
         private long latency() {
             return (System.nanoTime() - began) / 1_000;
         }
@@ -125,6 +131,8 @@
         final List<Part> parts;
         final Pool pool;
         Channel channel;
+        /** Bytes of it may have been handed to the socket; all of them, once it is written. */
+        boolean begun;
         boolean written;
         /** The first line of its answer said 200, which settles a call with one message. */
         boolean delivered;
@@ -144,12 +152,21 @@
             return parts.stream().allMatch(part -> part.ended);
         }
 
+        /** True if the endpoint may run a part that is given up now: others keep a call on its way. */
+        boolean mayRunWithout(Part part) {
+            return written || begun && parts.stream().anyMatch(other -> other != part && !other.ended);
+        }
+
         void end(Outcome outcome) {
             parts.forEach(part -> part.end(outcome));
         }
 
+        FullHttpRequest request() {
+            return CallRequest.encode(host.dial, parts.stream().map(Part::message).toList(), left());
+        }
+
         /** ms until the last of its parts stops waiting. */
-        long left() {
+        private long left() {
             long most = parts.stream().mapToLong(part -> part.patience - part.latency()).max().orElse(0);
             return Math.max(1, most / 1_000);
         }
@@ -168,15 +185,30 @@
     private final Bootstrap bootstrap;
     private long idleLimit;
     private final Figures figures;
+    /** Connections at once, those that are still to come up included; and how many there are. */
     private int most;
+    private int held;
     private final Map<Long, Pool> pools = new HashMap<>();
+    /** All idle connections, the one idle for the longest first. */
+    private final Set<Connection> resting = new LinkedHashSet<>();
+    /** Calls that wait until there may be one more connection, the longest first. */
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
 
-    /** {@code most}: connections at once, beyond which ones that carry no call are closed. */
+    /**
+     * {@code most}: connections at once. Beyond that, ones that carry no call are closed; where all carry
+     * one, further calls wait, each for its patience.
+     */
     HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeout, long keepAlive, int most,
              Figures figures) {
+        this(loop, bootstrap, NioSocketChannel::new, connectTimeout, keepAlive, most, figures);
+    }
+
+    /** {@code sockets}: makes the channels of connections; what it throws fails the call. */
+    HostPool(EventLoop loop, Bootstrap bootstrap, ChannelFactory<Channel> sockets, long connectTimeout,
+             long keepAlive, int most, Figures figures) {
         this.loop = loop;
         this.figures = figures;
-        this.bootstrap = bootstrap.clone(loop).channel(NioSocketChannel.class)
+        this.bootstrap = bootstrap.clone(loop).channelFactory(sockets)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
@@ -195,30 +227,72 @@
         long millis = keepAlive / 1_000;
         idleLimit = TimeUnit.MILLISECONDS.toNanos(Math.max(millis / 2, millis - IDLE_MARGIN));
         bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000));
+        roomMayBeFree();
     }
 
     private Pool pool(HostList.Host host) {
         return pools.computeIfAbsent(host.number, n -> new Pool());
     }
 
-    /** Begins one call that carries these parts. */
+    /** Begins one call that carries these parts, but for those that have been called off. */
     void call(HostList.Host host, List<Part> parts) {
+        List<Part> wanted = new ArrayList<>(parts);
+        wanted.removeIf(part -> part.ended);
+        if (wanted.isEmpty()) {
+            return;
+        }
         Pool pool = pool(host);
-        Call call = new Call(host, new ArrayList<>(parts), pool);
+        Call call = new Call(host, wanted, pool);
         for (Part part : call.parts) {
             part.timer = loop.schedule(part::giveUp, part.patience, TimeUnit.MICROSECONDS);
         }
-        for (Connection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
-            if (c.usable(host)) {
-                c.begin(call);
-                return;
+        pool.connecting.add(call);
+        waiting.removeIf(Call::over);
+        if (!waiting.isEmpty() || !dispatch(call)) {
+            waiting.addLast(call);
+        }
+    }
+
+    /** Begins a call on an idle connection or a new one; false if there may be none now. */
+    private boolean dispatch(Call call) {
+        Connection idle = idleConnection(call);
+        if (idle != null) {
+            idle.begin(call);
+            return true;
+        }
+        if (!makeRoom()) {
+            return false;
+        }
+        connect(call);
+        return true;
+    }
+
+    /** The connection to the call's host that was used last; null if none can be used. */
+    private Connection idleConnection(Call call) {
+        for (Connection c = call.pool.idle.pollLast(); c != null; c = call.pool.idle.pollLast()) {
+            resting.remove(c);
+            if (c.usable(call.host)) {
+                return c;
             }
             c.channel.close();
         }
-        makeRoom();
-        pool.connecting.add(call);
-        ChannelFuture connect = bootstrap.connect(host.dial);
+        return null;
+    }
+
+    private void connect(Call call) {
+        ChannelFuture connect = bootstrap.connect(call.host.dial);
+        if (!connect.channel().isRegistered()) {
+            // Without a descriptor there is no channel that could be closed, and the listeners of its
+            // future are called on another thread.
+            loop.execute(() -> call.end(Outcome.CONNECT_FAILED));
+            return;
+        }
+        held++;
         call.channel = connect.channel();
+        call.channel.closeFuture().addListener(closed -> {
+            held--;
+            roomMayBeFree();
+        });
         connect.addListener(done -> {
             if (!done.isSuccess()) {
                 call.end(Outcome.CONNECT_FAILED);
@@ -226,21 +300,51 @@
                 call.channel.close();
             } else {
                 Connection c = call.channel.pipeline().get(Connection.class);
-                c.pool = pool;
-                pool.open.add(c);
+                c.pool = call.pool;
+                call.pool.open.add(c);
                 c.begin(call);
             }
         });
     }
 
-    /** Guards the descriptors: before one more connection, the one idle for the longest goes. */
-    private void makeRoom() {
-        int held = pools.values().stream().mapToInt(pool -> pool.open.size() + pool.connecting.size()).sum();
-        if (held >= most) {
-            pools.values().stream().filter(pool -> !pool.idle.isEmpty())
-                .min(Comparator.comparingLong(pool -> pool.idle.peekFirst().idleSince))
-                .ifPresent(pool -> pool.idle.pollFirst().channel.close());
+    /** Guards the descriptors: true if there may be one more connection, for which others may be closed. */
+    private boolean makeRoom() {
+        while (held >= most) {
+            Connection spare = spare();
+            if (spare == null) {
+                return false;
+            }
+            resting.remove(spare);
+            spare.channel.close();
         }
+        return true;
+    }
+
+    /** The connection idle for the longest, else one whose call is over and whose answer still comes in. */
+    private Connection spare() {
+        Stream<Connection> finishing = pools.values().stream().flatMap(pool -> pool.open.stream())
+            .filter(c -> c.call != null && c.call.over());
+        return Stream.concat(resting.stream(), finishing).filter(c -> c.channel.isActive()).findFirst()
+            .orElse(null);
+    }
+
+    /** A connection was closed, or carries no call any more. */
+    private void roomMayBeFree() {
+        if (!waiting.isEmpty()) {
+            loop.execute(this::dispatchWaiting);
+        }
+    }
+
+    private void dispatchWaiting() {
+        waiting.removeIf(Call::over);
+        while (!waiting.isEmpty() && dispatch(waiting.peekFirst())) {
+            waiting.removeFirst();
+        }
+    }
+
+    /** How many connections there are, those that are still to come up included. */
+    int held() {
+        return held;
     }
 
     /**
@@ -346,14 +450,16 @@
             answered = false;
             keep = true;
             next.channel = channel;
+            answers.expectAnswer();
             // The module has been told that these never ran, while the connection was not yet up.
             next.parts.removeIf(part -> part.ended);
+            next.begun = true;
             states = null;
             pool.connecting.remove(next);
             int messages = next.parts.size();
             // The promise of a write is kept when its last byte has been handed to the socket: from then on
             // the call may run, before that it cannot.
-            channel.writeAndFlush(request(next)).addListener(done -> {
+            channel.writeAndFlush(next.request()).addListener(done -> {
                 next.written = done.isSuccess();
                 if (done.isSuccess()) {
                     figures.sent(messages);
@@ -384,6 +490,8 @@
                 idleSince = System.nanoTime();
                 if (keep && !answers.surplus()) {
                     pool.idle.addLast(this);
+                    resting.add(this);
+                    roomMayBeFree();
                 } else {
                     channel.close();
                 }
@@ -396,14 +504,11 @@
                 states = new ByteArrayOutputStream();
             } else {
                 call.parts.forEach(part -> part.end(Answers.reply(head, part.latency())));
+                roomMayBeFree();
             }
         }
 
         private void bodied(HttpContent content) {
-            if (states.size() + content.content().readableBytes() > BODY_MOST) {
-                channel.close();
-                return;
-            }
             byte[] bytes = ByteBufUtil.getBytes(content.content());
             states.write(bytes, 0, bytes.length);
             if (content instanceof LastHttpContent) {
@@ -419,6 +524,7 @@
             if (pool != null) {
                 pool.open.remove(this);
                 pool.idle.remove(this);
+                resting.remove(this);
             }
             if (call != null) {
                 call.end(call.written ? Outcome.RESET : Outcome.CONNECT_FAILED);
@@ -434,46 +540,4 @@
             context.close();
         }
     }
-
-    /** Tells the first line of an answer once it is read, and whether more has come than belongs to it. */
-    private static final class AnswerDecoder extends HttpResponseDecoder {
-        private final IntConsumer whenBegun;
-
-        AnswerDecoder(IntConsumer whenBegun) {
-            this.whenBegun = whenBegun;
-        }
-
-        @Override
-        protected HttpMessage createMessage(String[] firstLine) {
-            HttpMessage head = super.createMessage(firstLine);
-            whenBegun.accept(((HttpResponse) head).status().code());
-            return head;
-        }
-
-        /** Bytes past the end of the latest answer would be taken for the beginning of the next. */
-        boolean surplus() {
-            return actualReadableBytes() > 0;
-        }
-    }
-
-    private static FullHttpRequest request(Call call) {
-        Message first = call.parts.get(0).message;
-        byte[] body = call.bundle() ? Bundle.encode(call.parts.stream().map(Part::message).toList())
-            : first.body();
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-            call.bundle() ? "/v1/messages:batch" : "/v1/messages", Unpooled.wrappedBuffer(body));
-        request.headers().set(HttpHeaderNames.HOST,
-                call.host.dial.getAddress().getHostAddress() + ":" + call.host.dial.getPort())
-            .set("X-Timeout-Ms", call.left())
-            .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        if (call.bundle()) {
-            request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-            return request;
-        }
-        request.headers().set("X-Request-ID", first.id());
-        if (first.idempotencyKey() != null) {
-            request.headers().set("Idempotency-Key", first.idempotencyKey());
-        }
-        return request;
-    }
 }
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -3,14 +3,20 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -96,6 +102,101 @@
         }
     }
 
+    private HostPool narrow(int connections) {
+        return new HostPool(group.next(), new Bootstrap().group(group), LONG, KEEP_ALIVE, connections,
+            new Figures());
+    }
+
+    private void callOther(HostPool pool, int number, Host host, HostPool.Part part) throws Exception {
+        HostList.Host other = new HostList.Host(number, "s-" + number);
+        other.dial = new InetSocketAddress(Platform.LOOPBACK, host.port());
+        group.next().submit(() -> pool.call(other, List.of(part))).get();
+    }
+
+    private int held(HostPool pool) throws Exception {
+        return group.next().submit(pool::held).get();
+    }
+
+    /** Guards the descriptors: where each connection carries a call, one more call waits for one of them. */
+    @Test
+    void aCallOverTheShareWaitsUntilAConnectionIsFree() throws Exception {
+        try (Host first = new Host(); Host second = new Host(); Host third = new Host()) {
+            HostPool pool = narrow(2);
+            callOther(pool, 1, first, part("a", null, LONG, 10));
+            callOther(pool, 2, second, part("b", null, LONG, 10));
+            callOther(pool, 3, third, part("c", null, LONG, 10));
+            callOther(pool, 3, third, part("d", null, LONG, 10));
+            assertEquals(2, held(pool));
+            first.call().answer(Host.OK);
+            Host.Call next = third.call();
+            assertEquals("c", next.header("X-Request-ID"));
+            assertEquals(2, held(pool));
+            next.answer(Host.OK);
+            Host.Call last = third.call();
+            assertEquals("d", last.header("X-Request-ID"));
+            assertSame(next.socket(), last.socket(), "the free connection leads where it wants to go");
+        }
+    }
+
+    /** Guards the message: a call that waits for a connection has not begun, and ends once. */
+    @Test
+    void aCallThatWaitsForAFreeConnectionIsGivenUpOrTakenBackUnsent() throws Exception {
+        try (Host first = new Host(); Host second = new Host()) {
+            HostPool pool = narrow(1);
+            callOther(pool, 1, first, part("a", null, LONG, 10));
+            Host.Call out = first.call();
+            HostPool.Part late = part("late", null, LONG, 10);
+            callOther(pool, 2, second, late);
+            group.next().submit(late::giveUp).get();
+            assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+            call(pool, second.port(), part("back", null, LONG, 10));
+            group.next().submit(() -> pool.takeBack(listed)).get();
+            assertEquals(Outcome.NOT_SENT, reply().outcome());
+            callOther(pool, 2, second, part("goes", null, LONG, 10));
+            out.answer(Host.OK);
+            assertEquals(Outcome.OK, reply().outcome());
+            assertEquals("goes", second.call().header("X-Request-ID"));
+            assertEquals(1, held(pool));
+            assertTrue(replies.isEmpty());
+        }
+    }
+
+    /** Guards calls against answers that never end: once its call is over, such a connection gives way. */
+    @Test
+    void aConnectionWhoseCallIsOverGivesWayThoughItsAnswerIsNotAtItsEnd() throws Exception {
+        try (Host first = new Host(); Host second = new Host()) {
+            HostPool pool = narrow(1);
+            callOther(pool, 1, first, part("a", null, LONG, 10));
+            Host.Call slow = first.call();
+            callOther(pool, 2, second, part("b", null, LONG, 10));
+            slow.answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi");
+            assertEquals(Outcome.OK, reply().outcome());
+            assertEquals("b", second.call().header("X-Request-ID"));
+            assertEquals(1, held(pool));
+            assertTrue(first.ended(slow));
+        }
+    }
+
+    /** A machine that vanished says nothing: the connection neither comes up nor fails. */
+    @Test
+    void aConnectionThatNeverComesUpIsLetGoWithItsCall() throws Exception {
+        HostPool pool = new HostPool(group.next(), new Bootstrap().group(group), () -> new NioSocketChannel() {
+            @Override
+            protected boolean doConnect(SocketAddress remote, SocketAddress local) {
+                return false;
+            }
+        }, LONG, KEEP_ALIVE, 100, new Figures());
+        HostPool.Part first = part("a", null, LONG, 10), second = part("b", null, LONG, 10);
+        call(pool, 9, first, second);
+        group.next().submit(first::giveUp).get();
+        assertEquals(1, held(pool), "the other still waits");
+        group.next().submit(second::giveUp).get();
+        assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+        assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+        assertEquals(0, held(pool));
+        assertTrue(replies.isEmpty());
+    }
+
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
         int port;
@@ -275,6 +376,40 @@
         return "HTTP/1.1 " + status + "\r\n" + header + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** The bounds on an answer's bytes are those of one answer, not of its connection. */
+    @Test
+    void aConnectionWithManyLongAnswersIsUsedOn() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            Socket first = null;
+            for (int i = 0; i < 6; i++) {
+                call(pool, host.port(), LONG, 10);
+                Host.Call call = host.call();
+                first = first == null ? call.socket() : first;
+                assertSame(first, call.socket());
+                call.answer(answer("200 OK", "", "x".repeat(AnswerDecoder.BODY_BYTES_MAX)));
+                assertEquals(Outcome.OK, reply().outcome());
+                while (group.next().submit(() -> pool.idle(listed)).get() == 0) {
+                    Thread.onSpinWait();
+                }
+            }
+        }
+    }
+
+    /** Guards the processor against answers that do not end, whatever they began with. */
+    @ParameterizedTest
+    @CsvSource({"200, OK", "500, ERROR"})
+    void aConnectionWhoseAnswerIsTooLongIsClosed(int status, Outcome outcome) throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), LONG, 10);
+            Host.Call call = host.call();
+            call.answer("HTTP/1.1 " + status + " x\r\nContent-Length: 100000\r\n\r\n"
+                + "x".repeat(AnswerDecoder.BODY_BYTES_MAX + 1));
+            assertEquals(outcome, reply().outcome());
+            assertTrue(host.ended(call));
+        }
+    }
+
     /** A destination that counts calls takes several messages in one; each has a fate of its own. */
     @Test
     void aBundleIsOneCallWhoseAnswerTellsEachFate() throws Exception {
@@ -303,6 +438,38 @@
         }
     }
 
+    /** Guards against a second run: of two states the one that says "never ran" must not be picked. */
+    @ParameterizedTest
+    @ValueSource(strings = {"deferred", "expired", "no_more", "accepted"})
+    void aMessageThatABundlesAnswerNamesTwiceDifferentlyMayHaveRun(String other) throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), part("a", null, LONG, 2), part("b", null, LONG, 2));
+            host.call().answer(answer("200 OK", "", "[{\"id\":\"a\",\"state\":\"fault\"},"
+                + "{\"id\":\"b\",\"state\":\"accepted\"},{\"id\":\"a\",\"state\":\"" + other + "\"}]"));
+            assertEquals(Outcome.ERROR, reply().outcome());
+            assertEquals(Outcome.OK, reply().outcome());
+        }
+    }
+
+    /** Guards the slot: whatever has come of a bundle's answer, each message is given up in its time, once. */
+    @Test
+    void aBundleWhoseAnswerNeverEndsIsGivenUpAndItsConnectionClosed() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            HostPool.Part first = part("a", null, LONG, 2), second = part("b", null, LONG, 2);
+            call(pool, host.port(), first, second);
+            Host.Call call = host.call();
+            call.answer("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n[{\"id\":\"a\",\"state\":\"accepted\"},");
+            group.next().submit(first::giveUp).get();
+            assertEquals(Outcome.TIMEOUT, reply().outcome());
+            group.next().submit(second::giveUp).get();
+            assertEquals(Outcome.TIMEOUT, reply().outcome());
+            assertEquals(0, held(pool));
+            assertTrue(host.ended(call));
+            assertTrue(replies.isEmpty());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"429 Too Many Requests, '', FULL", "500 Internal Server Error, '', ERROR", "200 OK, nonsense, ERROR",
         "200 OK, '{}', ERROR", "200 OK, '[{\"id\":\"a\"}]', ERROR"})
@@ -348,6 +515,124 @@
         }
     }
 
+    /** A listener whose connections take little unless they are read. */
+    private static ServerSocket slowReader() throws IOException {
+        ServerSocket listener = new ServerSocket();
+        listener.setReceiveBufferSize(4_096);
+        listener.bind(new InetSocketAddress(Platform.LOOPBACK, 0));
+        return listener;
+    }
+
+    /**
+     * Guards against a second run: while the others keep the call on its way, what was given up with its bytes
+     * half written goes out too.
+     */
+    @Test
+    void aMessageGivenUpWhileItsBundleIsHalfWrittenMayRun() throws Exception {
+        try (ServerSocket listener = slowReader()) {
+            HostPool.Part first = part("given-up", null, LONG, 16 << 20);
+            call(pool(KEEP_ALIVE), listener.getLocalPort(), first, part("goes-on", null, LONG, 1));
+            Socket socket = listener.accept();
+            assertTrue(socket.getInputStream().read() >= 0, "a byte of it is out");
+            group.next().submit(first::giveUp).get();
+            assertEquals(Outcome.TIMEOUT, reply().outcome());
+            String head = String.join("\n", Host.head(socket.getInputStream()));
+            int length = Integer.parseInt(head.replaceAll("(?s).*content-length: (\\d+).*", "$1"));
+            String body = new String(socket.getInputStream().readNBytes(length), StandardCharsets.ISO_8859_1);
+            assertTrue(body.contains("given-up") && body.endsWith("]"), "it reached the endpoint");
+            socket.getOutputStream().write(Host.OK.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(Outcome.ERROR, reply().outcome());
+        }
+    }
+
+    /** Guards what "never ran" says: of a request that is half written, the last byte must not leave later. */
+    @Test
+    void aCallGivenUpWhileItIsHalfWrittenNeverReachesItsEnd() throws Exception {
+        try (ServerSocket listener = slowReader()) {
+            int bytes = 16 << 20;
+            HostPool.Part only = part("a", null, LONG, bytes);
+            call(pool(KEEP_ALIVE), listener.getLocalPort(), only);
+            Socket socket = listener.accept();
+            Host.head(socket.getInputStream());
+            group.next().submit(only::giveUp).get();
+            assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+            assertTrue(socket.getInputStream().readAllBytes().length < bytes);
+        }
+    }
+
+    /** Guards the last part of a bundle: with it the call is closed, whoever was given up before. */
+    @Test
+    void theLastMessageGivenUpClosesItsHalfWrittenBundle() throws Exception {
+        try (ServerSocket listener = slowReader()) {
+            HostPool.Part first = part("a", null, LONG, 16 << 20), last = part("b", null, LONG, 1);
+            call(pool(KEEP_ALIVE), listener.getLocalPort(), first, last);
+            Socket socket = listener.accept();
+            Host.head(socket.getInputStream());
+            group.next().submit(first::giveUp).get();
+            group.next().submit(last::giveUp).get();
+            assertEquals(Outcome.TIMEOUT, reply().outcome());
+            assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+            assertTrue(socket.getInputStream().readAllBytes().length < 16 << 20);
+        }
+    }
+
+    /** Guards the relay's one thread, and the attempt: a process that has no descriptor left goes on. */
+    @Test
+    void aCallForWhichThereIsNoDescriptorEndsOnTheRelaysThread() throws Exception {
+        HostPool pool = new HostPool(group.next(), new Bootstrap().group(group), () -> {
+            throw new ChannelException("too many open files");
+        }, LONG, KEEP_ALIVE, 100, new Figures());
+        BlockingQueue<Boolean> onThread = new LinkedBlockingQueue<>();
+        HostPool.Part part = new HostPool.Part(part("a", null, LONG, 1).message(), LONG, reply -> {
+            replies.add(reply);
+            onThread.add(group.next().inEventLoop());
+        });
+        call(pool, 9, part);
+        assertEquals(Outcome.CONNECT_FAILED, reply().outcome());
+        assertTrue(onThread.take());
+        HostPool.Part takenBack = part("b", null, LONG, 1);
+        group.next().submit(() -> {
+            pool.call(listed, List.of(takenBack));
+            pool.takeBack(listed);
+        }).get();
+        assertEquals(Outcome.NOT_SENT, reply().outcome());
+    }
+
+    /** Guards the connection against a fault in what hears of the end. */
+    @Test
+    void aConnectionIsClosedThoughTheReplyCannotBeTold() throws Exception {
+        try (Host host = new Host()) {
+            HostPool.Part part = new HostPool.Part(part("a", null, LONG, 1).message(), LONG, reply -> {
+                throw new IllegalStateException("forced by the test");
+            });
+            call(pool(KEEP_ALIVE), host.port(), part);
+            Host.Call call = host.call();
+            assertThrows(ExecutionException.class, () -> group.next().submit(part::giveUp).get());
+            assertTrue(host.ended(call));
+        }
+    }
+
+    /** Guards against an empty request, and against an end that is never told. */
+    @Test
+    void aMessageCalledOffBeforeItsCallIsMadeDoesNotGoOut() throws Exception {
+        try (Host host = new Host()) {
+            HostPool pool = pool(KEEP_ALIVE);
+            HostPool.Part alone = part("alone", null, LONG, 1), first = part("first", null, LONG, 1);
+            group.next().submit(alone::cancel).get();
+            group.next().submit(first::cancel).get();
+            assertEquals(Outcome.CANCELLED, reply().outcome());
+            assertEquals(Outcome.CANCELLED, reply().outcome());
+            call(pool, host.port(), alone);
+            assertEquals(0, held(pool));
+            call(pool, host.port(), first, part("second", null, LONG, 1));
+            Host.Call call = host.call();
+            assertEquals("second", call.header("X-Request-ID"));
+            call.answer(Host.OK);
+            assertEquals(Outcome.OK, reply().outcome());
+            assertTrue(replies.isEmpty());
+        }
+    }
+
     /** Guards the others in a bundle: giving up one message must not give up their call. */
     @Test
     void oneMessageOfABundleIsCalledOffAlone() throws Exception {
