Take a bundle's answer with a malformed header line for unreadable

One call with four messages had been answered

HTTP/1.1 200 OK no colon here Content-Length: 180

and the relay took the three for delivered.

Ruled out in the same trial: notices that come late, messages that are withdrawn, slow turns, answers with interim heads (a bundle answered by 103, 102 and 200 was not lost), answers with a spoilt load report.

Lines at fault: the HTTP decoder takes "no colon here" for a header "no" without a value (HttpObjectDecoder.splitHeader is lenient in responses), and any protocol name and spelling of the status ("ICY/1.1", "0200", "+200"). AnswerDecoder now refuses both, and the answer ends as a reset that may have run. HostPoolTest.anUnreadableAnswerDeliversNothingOfABundle failed in five of its seven cases before.

--- a/src/main/java/wrenkeel/net/AnswerDecoder.java
+++ b/src/main/java/wrenkeel/net/AnswerDecoder.java
@@ -6,12 +6,15 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import java.util.function.IntConsumer;
+import java.util.regex.Pattern;
 
 /**
- * Decodes an endpoint's answers. Tells the status of an answer once its first line has been read, and
+ * Decodes an endpoint's answers, strictly: one that the protocol's form does not allow is a failed attempt,
+ * and its messages may not be taken for delivered. Tells the status of an answer once its first line has been read, and
  * whether more has come than belongs to it. Closes the connection when one answer exceeds its bounds;
  * nothing is read after that.
  */
@@ -24,6 +27,9 @@
      */
     static final int ANSWER_BYTES_MAX = 4 * BODY_BYTES_MAX;
 
+    private static final Pattern HTTP_1 = Pattern.compile("HTTP/1\\.[01]");
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
+
     private final IntConsumer whenBegun;
     private int answerBytes;
     private int bodyBytes;
@@ -84,12 +90,36 @@
 
     @Override
     protected HttpMessage createMessage(String[] firstLine) {
+        requireStatusLine(firstLine);
         HttpMessage head = super.createMessage(firstLine);
         bodyBytes = 0;
         whenBegun.accept(((HttpResponse) head).status().code());
         return head;
     }
 
+    /** The superclass takes other protocols' names and any spelling of the number, such as +200 or 0200. */
+    private static void requireStatusLine(String[] firstLine) {
+        if (!HTTP_1.matcher(firstLine[0]).matches() || !STATUS.matcher(firstLine[1]).matches()) {
+            throw new IllegalArgumentException("no status line of HTTP/1");
+        }
+    }
+
+    /**
+     * Refuses a header line without a colon, which the decoder's superclass takes for a header with no value
+     * if a space stands in it. The answer then counts as unreadable, as the protocol has it.
+     */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        int next = start + length;
+        while (next < line.length && (line[next] == ' ' || line[next] == '\t')) {
+            next++;
+        }
+        if (next >= line.length || line[next] != ':') {
+            throw new IllegalArgumentException("header line without a colon");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     private void exceeded(ChannelHandlerContext context) {
         exceeded = true;
         context.close();
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -354,6 +354,31 @@
         }
     }
 
+    /**
+     * Guards against a message that nobody delivers any more: an answer that cannot be read as the protocol
+     * requires has delivered none of a bundle's messages, even if its body can be made out.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: %d\r\n\r\n%s",
+        "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nno colon here\r\n\r\n%s",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: %d\r\n\r\n%s",
+        "ICY/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
+        "HTTP/7.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
+        "HTTP/1.1 0200 OK\r\nContent-Length: %d\r\n\r\n%s",
+        "HTTP/1.1 +200 OK\r\nContent-Length: %d\r\n\r\n%s"})
+    void anUnreadableAnswerDeliversNothingOfABundle(String answer) throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), part("a", null, LONG, 1), part("b", null, LONG, 1));
+            Host.Call call = host.call();
+            String states = "[{\"id\":\"a\",\"state\":\"accepted\"},{\"id\":\"b\",\"state\":\"accepted\"}]";
+            call.answer(answer.formatted(states.length(), states));
+            assertEquals(Outcome.RESET, reply().outcome());
+            assertEquals(Outcome.RESET, reply().outcome());
+            assertTrue(host.ended(call));
+        }
+    }
+
     /** Guards the next call: what stands past an answer's end would be taken for the beginning of its own answer. */
     @ParameterizedTest
     @ValueSource(strings = {"surplus", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent"})
