Read the body of a bundle's answer strictly

Found beside the malformed header line: bytes that are no UTF-8 were replaced and passed over, and of a name given twice in one object the last one counted, so that {"state":"fault","state":"accepted"} delivered. Both are answers that cannot be read as the protocol requires. Lines at fault: Answers.states (lenient String constructor), Wire.decodeArray. HostPoolTest.aBodyThatIsNotWhollyReadable... failed in two of three cases before.

--- a/src/main/java/wrenkeel/Wire.java
+++ b/src/main/java/wrenkeel/Wire.java
@@ -180,26 +180,38 @@
         return map;
     }
 
-    /** Decodes one array of objects. */
+    /** Decodes one array of objects, strictly: no object may give one name twice. */
     public static List<Fields> decodeArray(String text) throws Malformed {
-        return new Fields(Collections.singletonMap("array", only(text))).objects("array");
+        try (JsonParser parser = JSON.createParser(text)) {
+            parser.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
+            return new Fields(Collections.singletonMap("array", only(parser))).objects("array");
+        } catch (IOException e) {
+            throw malformed(e);
+        }
     }
 
     private static Object only(String text) throws Malformed {
         try (JsonParser parser = JSON.createParser(text)) {
-            if (parser.nextToken() == null) {
-                throw new Malformed("nothing to read");
-            }
-            Object value = value(parser);
-            if (parser.nextToken() != null) {
-                throw new Malformed("more than one value on the line");
-            }
-            return value;
-        } catch (Malformed e) {
-            throw e;
+            return only(parser);
         } catch (IOException e) {
-            throw new Malformed("bad JSON: " + e.getMessage().lines().findFirst().orElse(""));
+            throw malformed(e);
+        }
+    }
+
+    private static Object only(JsonParser parser) throws IOException {
+        if (parser.nextToken() == null) {
+            throw new Malformed("nothing to read");
         }
+        Object value = value(parser);
+        if (parser.nextToken() != null) {
+            throw new Malformed("more than one value on the line");
+        }
+        return value;
+    }
+
+    private static Malformed malformed(IOException fault) {
+        return fault instanceof Malformed known ? known
+            : new Malformed("bad JSON: " + fault.getMessage().lines().findFirst().orElse(""));
     }
 
     private static Object value(JsonParser parser) throws IOException {
--- a/src/main/java/wrenkeel/net/Answers.java
+++ b/src/main/java/wrenkeel/net/Answers.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
@@ -61,11 +63,13 @@
     static Map<String, String> states(byte[] body) {
         Map<String, String> states = new HashMap<>();
         try {
-            for (Wire.Fields entry : Wire.decodeArray(new String(body, StandardCharsets.UTF_8))) {
+            // Strictly: bytes that are no UTF-8 must not be replaced and passed over.
+            String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString();
+            for (Wire.Fields entry : Wire.decodeArray(text)) {
                 states.merge(entry.text("id"), entry.text("state"),
                     (one, other) -> one.equals(other) ? one : CONTRADICTED);
             }
-        } catch (Wire.Malformed e) {
+        } catch (Wire.Malformed | CharacterCodingException e) {
             return Map.of();
         }
         return states;
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -379,6 +379,21 @@
         }
     }
 
+    /** Of a bundle's answer the whole body must be JSON, each name in it given once. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "[{\"id\":\"a\",\"state\":\"accepted\"},{\"id\":\"b\",\"state\":\"accepted\",\"note\":\"\u00ff\"}]",
+        "[{\"id\":\"a\",\"state\":\"fault\",\"state\":\"accepted\"},{\"id\":\"b\",\"state\":\"accepted\"}]",
+        "[{\"id\":\"a\",\"state\":\"accepted\"},{\"id\":\"b\",\"state\":\"accepted\"}] x"})
+    void aBodyThatIsNotWhollyReadableDeliversNothingOfABundle(String states) throws Exception {
+        try (Host host = new Host()) {
+            call(pool(KEEP_ALIVE), host.port(), part("a", null, LONG, 1), part("b", null, LONG, 1));
+            host.call().answer("HTTP/1.1 200 OK\r\nContent-Length: " + states.length() + "\r\n\r\n" + states);
+            assertEquals(Outcome.ERROR, reply().outcome());
+            assertEquals(Outcome.ERROR, reply().outcome());
+        }
+    }
+
     /** Guards the next call: what stands past an answer's end would be taken for the beginning of its own answer. */
     @ParameterizedTest
     @ValueSource(strings = {"surplus", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent"})
