--- a/src/main/java/wrenkeel/net/AnswerDecoder.java
+++ b/src/main/java/wrenkeel/net/AnswerDecoder.java
@@ -14,9 +14,9 @@
 
 /**
  * Decodes an endpoint's answers, strictly: one that the protocol's form does not allow is a failed attempt,
- * and its messages may not be taken for delivered. Tells the status of an answer once its first line has been read, and
- * whether more has come than belongs to it. Closes the connection when one answer exceeds its bounds;
- * nothing is read after that.
+ * and its messages may not be taken for delivered. Tells the status of an answer once its first line has
+ * been read, and whether more has come than belongs to it. Closes the connection when one answer exceeds its
+ * bounds; nothing is read after that.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
     /** Bytes that an answer's body may hold. */
