--- /dev/null
+++ b/src/main/java/wrenkeel/net/EventLoopLag.java
@@ -0,0 +1,48 @@
+package wrenkeel.net;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * How late the event loop has been of late, measured by a task that it runs at a fixed period. What is read
+ * from a socket now may have waited there for that long. One thread.
+ */
+final class EventLoopLag {
+    /** A lag is remembered for so long: connections accepted after a pause are read a few passes later. */
+    private static final long REMEMBERED_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final LongSupplier nanoClock;
+    private final long periodNanos;
+    private long lastTick;
+    private long worst;
+    private long worstAt;
+
+    /** {@code periodMillis}: between two calls of {@link #tick}. */
+    EventLoopLag(long periodMillis, LongSupplier nanoClock) {
+        this.nanoClock = nanoClock;
+        this.periodNanos = TimeUnit.MILLISECONDS.toNanos(periodMillis);
+        this.lastTick = nanoClock.getAsLong();
+    }
+
+    /** To be called by the event loop once in each period. */
+    void tick() {
+        long now = nanoClock.getAsLong();
+        long late = overdue(now);
+        if (late >= worst || now - worstAt > REMEMBERED_NANOS) {
+            worst = late;
+            worstAt = now;
+        }
+        lastTick = now;
+    }
+
+    /** The worst lag of the last second in milliseconds, that of a pause not yet over included. */
+    long millis() {
+        long now = nanoClock.getAsLong();
+        long remembered = now - worstAt > REMEMBERED_NANOS ? 0 : worst;
+        return TimeUnit.NANOSECONDS.toMillis(Math.max(remembered, overdue(now)));
+    }
+
+    private long overdue(long now) {
+        return Math.max(0, now - lastTick - periodNanos);
+    }
+}
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -81,6 +81,7 @@
     /** What this turn sends and is not yet on its way, by host. */
     private final Map<HostList.Host, Bundle> bundles = new LinkedHashMap<>();
     private final TakenUp takenUp = new TakenUp();
+    private final EventLoopLag lag = new EventLoopLag(STAND, System::nanoTime);
     private final long began = System.nanoTime();
     /** Unix time, ms. */
     private final long beganAt = System.currentTimeMillis();
@@ -156,7 +157,13 @@
         loop.scheduleWithFixedDelay(this::release, RELEASE, RELEASE, TimeUnit.MILLISECONDS);
     }
 
+    /** ms that what is read now may have waited in its socket. */
+    long lagMillis() {
+        return lag.millis();
+    }
+
     private void stand() {
+        lag.tick();
         int unavailable = control.unavailable() + hosts.draining();
         figures.stands(journal.size(), hosts.listed(), unavailable, hosts.version(), discovery.faults());
     }
