--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -242,7 +242,7 @@
         m.dest.held++;
         m.dest.mark(now, RATE_SPAN, Math.max(RATE_AGE, now - beganAt));
         m.deadline = e.deadline();
-        m.aim = m.deadline - m.cls.life() + m.cls.aim();
+        m.aim = m.deadline + e.reserve() - m.cls.life() + m.cls.aim();
         // What is taken up counted against the share when it was taken on.
         boolean inShare = e.takenUp() || inShare(e.tenant());
         m.band = e.messageClass() * 3 + (inShare ? 0 : 1);
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -79,14 +79,20 @@
     public record Earlier(long sent, int zone, boolean mayHaveRun) { }
 
     /**
-     * A message was taken on; exactly one final answer is owed before {@code deadline}. {@code takenUp}: it
+     * A message was taken on; exactly one final answer is owed before {@code deadline}. {@code reserve}: span
+     * between that and the end of the message's life, which the answer needs on its way. {@code takenUp}: it
      * was taken on before a restart, and {@code earlier} are its attempts so far; new ones are numbered on.
      */
-    public record Accepted(String id, int messageClass, int tenant, String key, long deadline,
+    public record Accepted(String id, int messageClass, int tenant, String key, long deadline, long reserve,
                            long destination, boolean takenUp, List<Earlier> earlier) implements Event {
+        public Accepted(String id, int messageClass, int tenant, String key, long deadline,
+                        long destination, boolean takenUp, List<Earlier> earlier) {
+            this(id, messageClass, tenant, key, deadline, 0, destination, takenUp, earlier);
+        }
+
         public Accepted(String id, int messageClass, int tenant, String key, long deadline,
                         long destination) {
-            this(id, messageClass, tenant, key, deadline, destination, false, List.of());
+            this(id, messageClass, tenant, key, deadline, 0, destination, false, List.of());
         }
     }
 
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -262,8 +262,10 @@
 
     private Relay.Accepted accepted(Held h, boolean takenUp, List<Relay.Earlier> earlier) {
         Message m = h.message;
+        long reserve = EndReserve.millis(m.deadline() - System.currentTimeMillis());
         return new Relay.Accepted(m.id(), number(h.rules), m.tenant(), m.routeKey(),
-            moduleTime(m.deadline()), m.destination(), takenUp, earlier);
+            moduleTime(m.deadline() - reserve), TimeUnit.MILLISECONDS.toMicros(reserve), m.destination(),
+            takenUp, earlier);
     }
 
     boolean knows(String messageClass, long destination) {
