Answer the requests of one connection strictly in their order

Symptom: of several requests written on one connection before the first answer, a health check, a refusal or an error was answered before a message that came earlier. An error also closed the connection, and the message before it, which had been taken on, got no answer at all.

Evidence: ServerConnectionTest, on real sockets with all requests unread as the relay begins to read.

At fault: Server.Requests.channelRead0 and the aggregator's 413 answer at once, Loop.answer one turn later, refusals first; nothing knew the order. Ruled out: a message behind a request with Connection: close was withdrawn already, through its failed write, and is not lost.

Mend: RequestSequencer lets one request at a time through and pauses reading until its response is written. At the orderly end an answer closes the connection only if no further request of it has been read.

--- /dev/null
+++ b/src/main/java/wrenkeel/net/RequestSequencer.java
@@ -0,0 +1,107 @@
+package wrenkeel.net;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Passes on the requests of one connection one at a time, so that responses leave in the order of their
+ * requests. Further requests are held back, and reading pauses, until the response to the one before has been
+ * written. After a response that closes the connection nothing is passed on, and no second response to the
+ * same request is written.
+ */
+final class RequestSequencer extends ChannelDuplexHandler {
+    private final Deque<Object> held = new ArrayDeque<>();
+    /** A whole request was passed on and its response has not been written. */
+    private boolean responseOwed;
+    private boolean closing;
+
+    /** Whether further requests of this connection, or parts of one, have been read already. */
+    boolean holdsRequests() {
+        return !held.isEmpty();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (closing) {
+            ReferenceCountUtil.release(message);
+        } else if (responseOwed || holdsRequests()) {
+            held.add(message);
+            context.channel().config().setAutoRead(false);
+        } else {
+            passOn(context, message);
+        }
+    }
+
+    private void passOn(ChannelHandlerContext context, Object message) {
+        if (message instanceof LastHttpContent) {
+            responseOwed = true;
+        }
+        context.fireChannelRead(message);
+    }
+
+    private void passOnHeld(ChannelHandlerContext context) {
+        if (!holdsRequests() || responseOwed) {
+            return;
+        }
+        while (holdsRequests() && !responseOwed) {
+            passOn(context, held.poll());
+        }
+        context.fireChannelReadComplete();
+        if (!holdsRequests() && !closing) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        if (!(message instanceof HttpResponse response) || isInterim(response)) {
+            context.write(message, promise);
+        } else if (closing && !responseOwed) {
+            ReferenceCountUtil.release(message);
+            promise.tryFailure(new ClosedChannelException());
+        } else {
+            // A response before the end of its request: where the next one would begin is not known.
+            boolean early = !responseOwed;
+            responseOwed = false;
+            if (early || !HttpUtil.isKeepAlive(response)) {
+                stopPassingOn();
+            } else if (holdsRequests()) {
+                // Not at once: the response may be one of several that the relay writes in one turn.
+                context.executor().execute(() -> passOnHeld(context));
+            }
+            context.write(message, promise);
+        }
+    }
+
+    private static boolean isInterim(HttpResponse response) {
+        return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
+    @Override
+    public void close(ChannelHandlerContext context, ChannelPromise promise) {
+        stopPassingOn();
+        context.close(promise);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        stopPassingOn();
+        context.fireChannelInactive();
+    }
+
+    private void stopPassingOn() {
+        closing = true;
+        while (holdsRequests()) {
+            ReferenceCountUtil.release(held.poll());
+        }
+    }
+}
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -53,7 +53,7 @@
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new Whole(),
+        channel.pipeline().addLast(new HttpServerCodec(), new RequestSequencer(), new Whole(),
             new RequestDeadline(clients, REQUEST_WITHIN), new Requests());
     }
 
@@ -78,16 +78,15 @@
     }
 
     /** Puts requests together; one that is too large is answered 413 and leaves a line in the log. */
-    private static final class Whole extends HttpObjectAggregator {
+    private final class Whole extends HttpObjectAggregator {
         Whole() {
             super(BODY_MOST, true);
         }
 
         @Override
-        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized)
-            throws Exception {
+        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
             LOG.warn("request turned away: 413 body over {} bytes", BODY_MOST);
-            super.handleOversizedMessage(context, oversized);
+            respond(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0, false);
         }
     }
 
@@ -229,7 +228,8 @@
             response.headers().set(HttpHeaderNames.RETRY_AFTER,
                 String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
         }
-        boolean close = !keep || leaving;
+        // At the end of the process, whatever has been read is answered before the connection closes.
+        boolean close = !keep || leaving && !context.pipeline().get(RequestSequencer.class).holdsRequests();
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- /dev/null
+++ b/src/test/java/wrenkeel/net/ServerConnectionTest.java
@@ -0,0 +1,149 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What one connection of a client is answered, and in which order. The relay behind it is a real one, and so are the
+ * sockets; what a client has sent is read in one pass, before any of it is decided.
+ */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class ServerConnectionTest {
+    private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    @TempDir
+    Path folder;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop thread = group.next();
+    private Platform platform;
+    private Host host;
+    private Journal journal;
+    private Loop loop;
+    private Server server;
+
+    @BeforeEach
+    void begin() throws Exception {
+        platform = new Platform(folder);
+        host = new Host();
+        Config config = platform.config(Platform.host("s-1", host.port(), 7, "ready"));
+        journal = new Journal(config.state(), config.diskBytes());
+        Bootstrap calls = new Bootstrap().group(thread);
+        Figures figures = new Figures();
+        onThread(() -> {
+            HostList hosts = new HostList(config.zones(), config.kinds());
+            HostPool pool = new HostPool(thread, calls, 1_000_000, 15_000_000, 100, figures);
+            loop = new Loop(thread, config, hosts, pool, journal, figures,
+                (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
+                    whenNoticed));
+            loop.start(config.known());
+            server = new Server(loop, new Callers(10));
+        });
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+        journal.close();
+        host.close();
+        platform.close();
+    }
+
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    private void onThread(Task task) throws Exception {
+        thread.submit(() -> {
+            task.run();
+            return null;
+        }).get();
+    }
+
+    private static String post(String id, String... further) {
+        return "POST /bill HTTP/1.1\r\nHost: a\r\n" + String.join("\r\n", Platform.Client.headers(id, "bill", 7, 16_000))
+            + "\r\n" + String.join("", further) + "Content-Length: 2\r\n\r\nhi";
+    }
+
+    /** A connection on which all of this has come before the relay reads the first of it. */
+    private SocketPair connected(String requests) throws Exception {
+        SocketPair pair = new SocketPair(server);
+        pair.send(requests);
+        pair.register(thread);
+        return pair;
+    }
+
+    @Test
+    void aHealthCheckBehindAMessageIsAnsweredAfterIt() throws Exception {
+        try (var pair = connected(post("a") + HEALTH + post("b") + HEALTH)) {
+            assertEquals(List.of("202", "200", "202", "200"), pair.statuses(4));
+        }
+    }
+
+    /** Guards against a lost message: an error that closes the connection must not cut off the answer before it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"nonsense\r\n\r\n", "GET /bill HTTP/1.1\r\nHost: a\r\n\r\n",
+        "POST /bill HTTP/1.1\r\nContent-Length: 70000\r\n\r\n",
+        "POST /bill HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 70000\r\n\r\n"})
+    void aMessageIsAnsweredBeforeTheErrorThatClosesItsConnection(String bad) throws Exception {
+        try (var pair = connected(post("a") + bad + HEALTH)) {
+            assertEquals("202", pair.status());
+            assertTrue(pair.status().startsWith("4"));
+            assertTrue(pair.ends(), "nothing behind the error is served");
+        }
+        assertEquals(1, owed());
+    }
+
+    @Test
+    void nothingBehindARequestThatClosesTheConnectionIsServed() throws Exception {
+        try (var pair = connected(post("a", "Connection: close\r\n") + post("b"))) {
+            assertEquals("202", pair.status());
+            assertTrue(pair.ends());
+        }
+        assertEquals(1, owed());
+    }
+
+    /** Guards against a lost message: at the orderly end what has been read is answered, the last with the close. */
+    @Test
+    void atTheOrderlyEndAllThatHasBeenReadIsAnswered() throws Exception {
+        onThread(server::leave);
+        try (var pair = connected(post("a") + HEALTH + post("b"))) {
+            assertEquals(List.of("202", "503", "202"), pair.statuses(3));
+            assertTrue(pair.ends());
+        }
+    }
+
+    /** Guards against a lost message: as the process ends, held requests hear that they were not taken on. */
+    @Test
+    void requestsHeldBackAsTheProcessEndsAreRefused() throws Exception {
+        SocketPair pair = new SocketPair(server);
+        pair.send(post("a") + post("b"));
+        onThread(() -> {
+            thread.register(pair.channel);
+            assertTrue(pair.channel.isRegistered());
+            ((AbstractNioChannel.NioUnsafe) pair.channel.unsafe()).read();
+            loop.stop();
+        });
+        assertEquals(List.of("503", "503"), pair.statuses(2));
+        assertEquals(0, owed());
+        pair.close();
+    }
+
+    private int owed() throws Exception {
+        return thread.submit(() -> journal.owed().size()).get();
+    }
+}
