Linger before a client's connection closes, so that no response is reset

Symptom: a peer that still sends as it is answered with a close (400, 405, 413, Connection: close, the orderly end, an idle time-out) is reset.

Evidence: LingeringCloseTest on real sockets, with more in the socket than one read takes. Without the mend the peer's next writes fail with "Broken pipe" in all four cases. The response itself could still be read there: the JDK shuts the output down before it closes a registered channel, so that only what is unsent or unread as the reset arrives is lost.

At fault: ChannelFutureListener.CLOSE in Server.respond, and the close of RequestDeadline.

Mend: LingeringClose, first in the pipeline, turns a close after any write into a shutdown of the output; what still comes is discarded, for 300 ms and 256 KiB at most, and never passed on. Such a connection holds its place, and is the first to give way to a newcomer, at once.

--- /dev/null
+++ b/src/main/java/wrenkeel/net/LingeringClose.java
@@ -0,0 +1,95 @@
+package wrenkeel.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Closes a connection on which something has been written so that the peer can still read it: a close over
+ * unread bytes would reset the connection, and the response with it. The output is shut down first; what the
+ * peer still sends is discarded until it closes its side or the time is up. Comes first in the pipeline.
+ */
+final class LingeringClose extends ChannelDuplexHandler {
+    /** Bytes that are read and discarded; what the peer sends beyond them stays unread. */
+    private static final long DISCARDED_MOST = 256 * 1024;
+
+    private final Callers callers;
+    private final long millis;
+    private boolean written;
+    private boolean lingering;
+    private long discarded;
+    private Future<?> timer;
+
+    LingeringClose(Callers callers, long millis) {
+        this.callers = callers;
+        this.millis = millis;
+    }
+
+    /** Closes a connection at once, whatever its peer has not read. */
+    static void closeNow(Channel channel) {
+        ChannelHandlerContext context = channel.pipeline().context(LingeringClose.class);
+        if (context == null) {
+            channel.close();
+        } else {
+            // Begins past this handler.
+            context.close();
+        }
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        written = true;
+        context.write(message, promise);
+    }
+
+    @Override
+    public void close(ChannelHandlerContext context, ChannelPromise promise) {
+        if (written && !lingering && context.channel() instanceof DuplexChannel channel
+                && channel.isActive()) {
+            linger(context, channel);
+        }
+        if (lingering) {
+            context.channel().closeFuture().addListener(closed -> promise.trySuccess());
+        } else {
+            context.close(promise);
+        }
+    }
+
+    private void linger(ChannelHandlerContext context, DuplexChannel channel) {
+        lingering = true;
+        callers.lingering(channel);
+        timer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+        channel.shutdownOutput();
+        // Reading may be paused; without it the peer's own close would not be seen.
+        channel.config().setAutoRead(true);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (!lingering) {
+            context.fireChannelRead(message);
+            return;
+        }
+        if (message instanceof ByteBuf bytes) {
+            discarded += bytes.readableBytes();
+        }
+        ReferenceCountUtil.release(message);
+        if (discarded >= DISCARDED_MOST) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        context.fireChannelInactive();
+    }
+}
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -37,6 +37,11 @@
      * a busy relay reads its last byte late.
      */
     private static final long REQUEST_WITHIN = 2_600;
+    /**
+     * ms a connection may stay after its last response. Together with the time for a request it is below 3 s;
+     * at the orderly end the process waits for it.
+     */
+    private static final long LINGER = 300;
     /** ms; a longer time for a message is taken for a mistake. */
     private static final long TIME_MOST = 3_600_000;
     /** ms; a client hears of its message at most 400 ms after sending it, and an end may come 300 ms late. */
@@ -44,17 +49,24 @@
 
     private final Loop loop;
     private final Callers clients;
+    private final long lingerMillis;
     private boolean leaving;
 
     Server(Loop loop, Callers clients) {
+        this(loop, clients, LINGER);
+    }
+
+    Server(Loop loop, Callers clients, long lingerMillis) {
         this.loop = loop;
         this.clients = clients;
+        this.lingerMillis = lingerMillis;
     }
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new RequestSequencer(), new Whole(),
-            new RequestDeadline(clients, REQUEST_WITHIN), new Requests());
+        channel.pipeline().addLast(new LingeringClose(clients, lingerMillis), new HttpServerCodec(),
+            new RequestSequencer(), new Whole(), new RequestDeadline(clients, REQUEST_WITHIN),
+            new Requests());
     }
 
     /** From now on each answer closes its connection. */
