Close a client's connection for a newcomer only once it is read dry

Symptom: with all places taken, the connection quiet for the longest was closed for a newcomer although its request stood unread in the socket or was half read. A crowd that connects at once pushed out clients whose first requests had come.

Evidence: CallersTest, on real sockets; the newcomer comes while the thread that reads is held, so that what the test has sent is unread.

At fault: Callers.connected and Callers.allow took the first of "quiet" without a look at its socket; "quiet" held half-read requests beside silent connections. Ruled out: a whole request that has been read and is not answered was never closed.

Mend: SocketReader reads at once what stands in a candidate's socket, and only one that brings nothing is closed. Lingering connections go first, then silent ones, then those within their first request; within a later request none is closed. If none may leave, the newcomer does. Half a call counts on the operators' console in the same way.

--- a/src/main/java/wrenkeel/net/Console.java
+++ b/src/main/java/wrenkeel/net/Console.java
@@ -55,7 +55,7 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpServerCodec(),
+                    channel.pipeline().addLast(new SocketReader(callers), new HttpServerCodec(),
                         new HttpObjectAggregator(CALL_MOST, true),
                         new RequestDeadline(callers, CALL_WITHIN), new Calls(ready, figures));
                 }
--- a/src/main/java/wrenkeel/net/LingeringClose.java
+++ b/src/main/java/wrenkeel/net/LingeringClose.java
@@ -13,7 +13,7 @@
 /**
  * Closes a connection on which something has been written so that the peer can still read it: a close over
  * unread bytes would reset the connection, and the response with it. The output is shut down first; what the
- * peer still sends is discarded until it closes its side or the time is up. Comes first in the pipeline.
+ * peer still sends is discarded until it closes its side or the time is up. Comes before all that decodes.
  */
 final class LingeringClose extends ChannelDuplexHandler {
     /** Bytes that are read and discarded; what the peer sends beyond them stays unread. */
--- a/src/main/java/wrenkeel/net/RequestDeadline.java
+++ b/src/main/java/wrenkeel/net/RequestDeadline.java
@@ -39,13 +39,6 @@
         context.fireChannelRead(message);
     }
 
-    /** Comes after bytes too that do not yet make a request. */
-    @Override
-    public void channelReadComplete(ChannelHandlerContext context) {
-        callers.heard(context.channel());
-        context.fireChannelReadComplete();
-    }
-
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         if (message instanceof LastHttpContent) {
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -64,9 +64,9 @@
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new LingeringClose(clients, lingerMillis), new HttpServerCodec(),
-            new RequestSequencer(), new Whole(), new RequestDeadline(clients, REQUEST_WITHIN),
-            new Requests());
+        channel.pipeline().addLast(new SocketReader(clients), new LingeringClose(clients, lingerMillis),
+            new HttpServerCodec(), new RequestSequencer(), new Whole(),
+            new RequestDeadline(clients, REQUEST_WITHIN), new Requests());
     }
 
     /** From now on each answer closes its connection. */
--- a/src/test/java/wrenkeel/net/CallersTest.java
+++ b/src/test/java/wrenkeel/net/CallersTest.java
@@ -2,13 +2,28 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Who gives way when all places are taken. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
 class CallersTest {
+    private static final String HALF = "GET /healthz HTTP/1.1\r\nHos", HEALTH = HALF + "t: a\r\n\r\n";
+
     private final Callers callers = new Callers(3);
     private final List<EmbeddedChannel> channels = IntStream.range(0, 6).mapToObj(i -> new EmbeddedChannel()).toList();
 
@@ -49,4 +64,127 @@
         connect(4);
         assertEquals("o-o-oo", open());
     }
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop thread = group.next();
+    private final List<SocketPair> pairs = new ArrayList<>();
+
+    @AfterEach
+    void end() throws IOException {
+        for (SocketPair pair : pairs) {
+            pair.close();
+        }
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    /** A client of the relay's server; if it answers nothing, each whole request stays open. */
+    private SocketPair client(boolean answers) throws Exception {
+        SocketPair pair = new SocketPair(new Server(null, callers));
+        pairs.add(pair);
+        pair.register(thread);
+        if (!answers) {
+            pair.channel.pipeline().removeLast();
+        }
+        return pair;
+    }
+
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    /** While the task runs, nothing is read but by it. */
+    private void onThread(Task task) throws Exception {
+        thread.submit(() -> {
+            task.run();
+            return null;
+        }).get();
+    }
+
+    private void newcomer() throws IOException {
+        SocketPair pair = new SocketPair();
+        pairs.add(pair);
+        thread.register(pair.channel);
+        callers.connected(pair.channel);
+    }
+
+    private static String openOf(SocketPair... pairs) {
+        return String.join("", Stream.of(pairs).map(pair -> pair.channel.isOpen() ? "o" : "-").toList());
+    }
+
+    /** Guards against a lost message: a busy relay has not read yet what the quietest connection has brought. */
+    @ParameterizedTest
+    @ValueSource(strings = {HEALTH, HALF})
+    void oneWhoseRequestIsUnreadIsNotClosed(String unread) throws Exception {
+        SocketPair first = client(true);
+        SocketPair second = client(true);
+        SocketPair third = client(true);
+        onThread(() -> {
+            first.send(unread);
+            newcomer();
+            assertEquals("o-o", openOf(first, second, third));
+        });
+        first.client.getOutputStream().write(HEALTH.substring(unread.length()).getBytes(StandardCharsets.US_ASCII));
+        assertEquals("200", first.status());
+    }
+
+    /** Guards against lost messages: when every connection has brought a request, the newcomer leaves. */
+    @Test
+    void whenAllHaveBroughtARequestTheNewcomerLeaves() throws Exception {
+        SocketPair first = client(false);
+        SocketPair second = client(false);
+        SocketPair third = client(false);
+        onThread(() -> {
+            for (SocketPair pair : List.of(first, second, third)) {
+                pair.send(HEALTH);
+            }
+            newcomer();
+            assertEquals("ooo-", openOf(pairs.toArray(SocketPair[]::new)));
+            assertEquals(3, callers.size());
+        });
+    }
+
+    /** Guards slow writers: one within its first request goes after all that are silent, however lately they were heard. */
+    @Test
+    void oneWithinItsFirstRequestIsTheLastToGiveWay() throws Exception {
+        SocketPair first = client(true);
+        onThread(() -> {
+            first.send(HALF);
+            assertTrue(SocketReader.readNow(first.channel));
+        });
+        SocketPair second = client(true);
+        SocketPair third = client(true);
+        onThread(() -> {
+            newcomer();
+            newcomer();
+            assertEquals("o--", openOf(first, second, third));
+            newcomer();
+            assertEquals("---", openOf(first, second, third));
+        });
+    }
+
+    /** Guards against a lost message: the last byte of a later request may be on its way. */
+    @Test
+    void oneWithinALaterRequestIsNotClosed() throws Exception {
+        SocketPair first = client(true);
+        first.send(HEALTH);
+        assertEquals("200", first.status());
+        onThread(() -> {
+            first.send(HALF);
+            callers.allow(0);
+            assertEquals("o", openOf(first));
+        });
+    }
+
+    /** Guards the descriptors at a replacement, and against lost messages: the others may leave, if read dry. */
+    @Test
+    void fewerPlacesCloseOnlyWhatIsReadDry() throws Exception {
+        SocketPair first = client(false);
+        SocketPair second = client(false);
+        SocketPair third = client(false);
+        onThread(() -> {
+            second.send(HEALTH);
+            callers.allow(1);
+            assertEquals("-o-", openOf(first, second, third));
+        });
+    }
 }
