Read a socket once more before the time for its request ends it

Symptom: a connection was closed for want of a whole request although the request's last byte stood in its socket.

Evidence: RequestDeadlineTest, on real sockets, with the last byte written while the thread is held and the time then up: without the mend the connection ends with no answer. A loop runs due timers behind the tasks of the same pass, so bytes that come during a long turn are unread by then.

At fault: RequestDeadline.start closed from its timer without a look at the socket. Ruled out: a timer that comes due between two passes, since a pass reads all ready sockets before its timers.

Mend: RequestDeadline.expire reads what stands there; one that still has no whole request is closed as before.

--- a/src/main/java/wrenkeel/net/RequestDeadline.java
+++ b/src/main/java/wrenkeel/net/RequestDeadline.java
@@ -58,7 +58,16 @@
         stop();
         callers.awaited(context.channel());
         if (context.channel().isActive()) {
-            timer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+            timer = context.executor().schedule(() -> expire(context), millis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Reads what stands in the socket first: the request may have come while the thread was busy. */
+    void expire(ChannelHandlerContext context) {
+        Future<?> expired = timer;
+        SocketReader.readNow(context.channel());
+        if (timer == expired) {
+            context.close();
         }
     }
 
--- a/src/test/java/wrenkeel/net/RequestDeadlineTest.java
+++ b/src/test/java/wrenkeel/net/RequestDeadlineTest.java
@@ -4,7 +4,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -17,6 +21,7 @@
 class RequestDeadlineTest {
     /** s; the platform's limit for an error or a close, from connecting. */
     private static final long OWED_WITHIN = 3;
+    private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
     private static final String REQUEST = "POST /bill HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
 
     private static EmbeddedChannel client() {
@@ -85,4 +90,33 @@
         pass(channel, 1_500);
         assertFalse(channel.isOpen());
     }
+
+    /** Guards against a lost message: the last byte has come while the thread was busy, and the time is up. */
+    @Test
+    void aRequestThatStandsInTheSocketAsTheTimeIsUpIsServed() throws Exception {
+        var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop thread = group.next();
+        try (SocketPair late = new SocketPair(new Server(null, new Callers(10)));
+             SocketPair half = new SocketPair(new Server(null, new Callers(10)))) {
+            late.register(thread);
+            half.register(thread);
+            thread.submit(() -> {
+                late.send(HEALTH);
+                half.send(HEALTH.substring(0, HEALTH.length() - 1));
+                expire(late);
+                expire(half);
+                return null;
+            }).get();
+            assertEquals("200", late.status());
+            assertTrue(late.channel.isOpen());
+            assertTrue(half.ends());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+
+    private static void expire(SocketPair pair) {
+        ChannelHandlerContext context = pair.channel.pipeline().context(RequestDeadline.class);
+        ((RequestDeadline) context.handler()).expire(context);
+    }
 }
