Answer 500 where a fault of the relay ends a client's connection

Symptom: an unexpected exception on a connection closed it with no answer, also under a message before it that was being taken on.

Evidence: ServerConnectionTest.aFaultBehindAMessage..., which fails a read behind a message that waits for its answer. Without the mend the client reads the end of the connection and no answer; with it 500, and the message is withdrawn, for its own answer then fails.

At fault: Server.Requests.exceptionCaught closed in any case. Ruled out: a message kept with nobody told. Where the client resets the connection before the answer, the failed write withdraws the message, with and without the mend (aMessageWhoseClientReset...).

--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -132,11 +132,14 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            // A client that leaves, also in the middle of its request, is no fault.
-            if (!(cause instanceof IOException || cause instanceof PrematureChannelClosureException)) {
+            if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+                // A client that leaves, also in the middle of its request, is no fault.
+                context.close();
+            } else {
                 LOG.error("connection of a client closed", cause);
+                // Also for a message that the relay has yet to answer: it is withdrawn, as its answer fails.
+                respond(context, HttpResponseStatus.INTERNAL_SERVER_ERROR, 0, false);
             }
-            context.close();
         }
     }
 
--- a/src/test/java/wrenkeel/net/ServerConnectionTest.java
+++ b/src/test/java/wrenkeel/net/ServerConnectionTest.java
@@ -3,10 +3,14 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpRequest;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -135,7 +139,7 @@
         onThread(() -> {
             thread.register(pair.channel);
             assertTrue(pair.channel.isRegistered());
-            ((AbstractNioChannel.NioUnsafe) pair.channel.unsafe()).read();
+            assertTrue(SocketReader.readNow(pair.channel));
             loop.stop();
         });
         assertEquals(List.of("503", "503"), pair.statuses(2));
@@ -143,7 +147,59 @@
         pair.close();
     }
 
+    /** Guards against a lost message: it is neither kept nor left without an answer. */
+    @Test
+    void aFaultBehindAMessageIsAnsweredAndWithdrawsIt() throws Exception {
+        try (SocketPair pair = new SocketPair(server, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addBefore(channel.pipeline().context(RequestSequencer.class).name(), null,
+                    new FailsOnSecondRequest());
+            }
+        })) {
+            pair.send(post("a") + post("b"));
+            pair.register(thread);
+            assertEquals("500", pair.status());
+            assertTrue(pair.ends());
+        }
+        assertEquals(0, owed());
+        onThread(() -> assertTrue(loop.idle()));
+    }
+
+    private static final class FailsOnSecondRequest extends ChannelInboundHandlerAdapter {
+        private int requests;
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof HttpRequest && ++requests == 2) {
+                throw new IllegalStateException("a fault of the test");
+            }
+            context.fireChannelRead(message);
+        }
+    }
+
+    /** Guards the destinations: whoever resets its connection before the answer hands its message in again. */
+    @Test
+    void aMessageWhoseClientResetItsConnectionIsWithdrawn() throws Exception {
+        try (SocketPair pair = new SocketPair(server)) {
+            pair.send(post("a"));
+            onThread(() -> {
+                thread.register(pair.channel);
+                assertTrue(SocketReader.readNow(pair.channel));
+                pair.client.setSoLinger(true, 0);
+                pair.client.close();
+            });
+            pair.channel.closeFuture().sync();
+        }
+        assertEquals(0, owed());
+        onThread(() -> assertTrue(loop.idle()));
+    }
+
+    /** How many messages the journal owes, once what has been read is decided. */
     private int owed() throws Exception {
+        for (int pass = 0; pass < 10; pass++) {
+            onThread(() -> { });
+        }
         return thread.submit(() -> journal.owed().size()).get();
     }
 }
