Log requests turned away at most once a second, with their count

Symptom: each request that was turned away wrote a line, so that a flood of bad peers cost a relay with a small share of a core its time.

The cost of a line was not measured.

At fault: LOG.warn in Server.Requests.channelRead0 and Server.Whole.

Mend: ThrottledLog logs the first at once, counts those within the next second and tells the last of them with the count.

--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -50,6 +50,7 @@
     private final Loop loop;
     private final Callers clients;
     private final long lingerMillis;
+    private final ThrottledLog turnedAway = new ThrottledLog(LOG);
     private boolean leaving;
 
     Server(Loop loop, Callers clients) {
@@ -89,7 +90,7 @@
         }
     }
 
-    /** Puts requests together; one that is too large is answered 413 and leaves a line in the log. */
+    /** Puts requests together; one that is too large is answered 413. */
     private final class Whole extends HttpObjectAggregator {
         Whole() {
             super(BODY_MOST, true);
@@ -97,7 +98,8 @@
 
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-            LOG.warn("request turned away: 413 body over {} bytes", BODY_MOST);
+            logTurnedAway(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                "body over " + BODY_MOST + " bytes");
             respond(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0, false);
         }
     }
@@ -124,7 +126,7 @@
                     loop.accept(message, new ToClient(context, message.id(), keep));
                 }
             } catch (Bad e) {
-                LOG.warn("request turned away: {} {}", e.status.code(), e.getMessage());
+                logTurnedAway(context, e.status, e.getMessage());
                 // A peer that asks for what no client asks for may have much more to send.
                 respond(context, e.status, 0, false);
             }
@@ -143,6 +145,10 @@
         }
     }
 
+    private void logTurnedAway(ChannelHandlerContext context, HttpResponseStatus status, String fault) {
+        turnedAway.warn(context.executor(), "request turned away: " + status.code() + " " + fault);
+    }
+
     private Message message(FullHttpRequest request, String path) throws Bad {
         HttpHeaders headers = request.headers();
         String[] parts = path.split("/");
--- a/src/test/java/wrenkeel/net/ServerTest.java
+++ b/src/test/java/wrenkeel/net/ServerTest.java
@@ -32,22 +32,43 @@
         assertTrue(deadline > 1_000_000 + time / 2 && deadline <= 1_000_000 + time);
     }
 
+    /** Guards the log and the CPU: a flood of bad peers must not leave a line each. */
+    @Test
+    void aFloodOfBadRequestsLeavesOneLine() {
+        Server server = new Server(null, new Callers(100));
+        assertEquals(1, logged(() -> {
+            for (int i = 0; i < 50; i++) {
+                EmbeddedChannel channel = new EmbeddedChannel();
+                channel.pipeline().addLast(server);
+                channel.writeInbound(Unpooled.copiedBuffer("nonsense\r\n\r\n", StandardCharsets.US_ASCII));
+                assertFalse(channel.isOpen());
+            }
+        }).lines().count());
+    }
+
     /** Guards the log and the CPU: clients that leave in the middle of a request come in crowds. */
     @Test
     void aClientThatLeavesInTheMiddleOfItsRequestLeavesNoTrace() {
-        PrintStream before = System.err;
-        ByteArrayOutputStream log = new ByteArrayOutputStream();
-        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-        try {
+        assertEquals("", logged(() -> {
             EmbeddedChannel channel = new EmbeddedChannel();
             channel.pipeline().addLast(new Server(null, new Callers(10)));
             channel.pipeline().fireChannelActive();
             channel.writeInbound(Unpooled.copiedBuffer("POST /bill HTTP/1.1\r\nContent-Length: 5\r\n\r\nhi",
                 StandardCharsets.US_ASCII));
             channel.finish();
+        }));
+    }
+
+    /** What the program logs meanwhile. */
+    private static String logged(Runnable task) {
+        PrintStream before = System.err;
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            task.run();
         } finally {
             System.setErr(before);
         }
-        assertEquals("", log.toString(StandardCharsets.UTF_8));
+        return log.toString(StandardCharsets.UTF_8);
     }
 }
--- /dev/null
+++ b/src/test/java/wrenkeel/net/ThrottledLogTest.java
@@ -0,0 +1,86 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+
+/** What a flood leaves in the log, on a clock that the test moves. */
+class ThrottledLogTest {
+    private final EmbeddedChannel clock = new EmbeddedChannel();
+    private final ThrottledLog throttled = new ThrottledLog(LoggerFactory.getLogger(ThrottledLogTest.class));
+    private final PrintStream before = System.err;
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+
+    @BeforeEach
+    void begin() {
+        clock.freezeTime();
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+    }
+
+    @AfterEach
+    void end() {
+        System.setErr(before);
+    }
+
+    private void warn(int times, String event) {
+        for (int i = 0; i < times; i++) {
+            throttled.warn(clock.eventLoop(), event);
+        }
+    }
+
+    private void pass(long millis) {
+        clock.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        clock.runScheduledPendingTasks();
+    }
+
+    private List<String> told() {
+        String text = log.toString(StandardCharsets.UTF_8);
+        log.reset();
+        return text.lines().map(line -> line.substring(line.indexOf(" - ") + 3)).toList();
+    }
+
+    @Test
+    void theFirstIsToldAtOnceAndTheRestOfTheSecondInOneLine() {
+        warn(1, "a");
+        warn(48, "b");
+        warn(1, "c");
+        assertEquals(List.of("a"), told());
+        pass(999);
+        assertEquals(List.of(), told());
+        pass(1);
+        assertEquals(List.of("c, and 48 more within a second"), told());
+    }
+
+    @Test
+    void aFloodThatGoesOnIsToldOnceASecond() {
+        for (int second = 0; second < 5; second++) {
+            warn(10, "a");
+            pass(1_000);
+        }
+        assertEquals(6, told().size(), "the first, and one for each second");
+    }
+
+    @Test
+    void afterAQuietSecondTheNextIsToldAtOnce() {
+        warn(1, "a");
+        pass(1_000);
+        warn(1, "b");
+        assertEquals(List.of("a", "b"), told());
+    }
+
+    @Test
+    void oneMoreAloneIsToldWithoutACount() {
+        warn(2, "a");
+        pass(1_000);
+        assertEquals(List.of("a", "a"), told());
+    }
+}
