Count a request as begun whose first bytes came with the one before

Symptom: of a client that writes ahead, the first bytes of a request could stand in the decoder as the request before it was answered; the connection then counted as silent and gave way to a newcomer.

Evidence: CallersTest.oneThatBroughtPartOfTheNextRequest..., on real sockets, with one byte, a whole line and half a header line of the next request.

At fault: RequestDeadline.start, which told the register of a new silence with each answer. Ruled out: asking the decoder for its unread bytes, since whole header lines leave its buffer before the request comes out.

Mend: RequestDecoder tracks whether the bytes so far end within a request. It and the response encoder stand in place of the joint codec, whose record of HEAD and CONNECT is not needed: no response has a body.

--- a/src/main/java/wrenkeel/net/RequestDeadline.java
+++ b/src/main/java/wrenkeel/net/RequestDeadline.java
@@ -57,6 +57,11 @@
     private void start(ChannelHandlerContext context) {
         stop();
         callers.awaited(context.channel());
+        RequestDecoder decoder = context.pipeline().get(RequestDecoder.class);
+        if (decoder != null && decoder.isWithinRequest()) {
+            // Part of the next request came with the one before.
+            callers.heard(context.channel());
+        }
         if (context.channel().isActive()) {
             timer = context.executor().schedule(() -> expire(context), millis, TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -18,8 +18,8 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -66,7 +66,7 @@
     @Override
     protected void initChannel(Channel channel) {
         channel.pipeline().addLast(new SocketReader(clients), new LingeringClose(clients, lingerMillis),
-            new HttpServerCodec(), new RequestSequencer(), new Whole(),
+            new RequestDecoder(), new HttpResponseEncoder(), new RequestSequencer(), new Whole(),
             new RequestDeadline(clients, REQUEST_WITHIN), new Requests());
     }
 
--- a/src/test/java/wrenkeel/net/CallersTest.java
+++ b/src/test/java/wrenkeel/net/CallersTest.java
@@ -175,6 +175,23 @@
         });
     }
 
+    /** Guards against a lost message: the first bytes of the next request came in one read with the one before. */
+    @ParameterizedTest
+    @ValueSource(strings = {"G", "GET /healthz HTTP/1.1\r\n", HALF})
+    void oneThatBroughtPartOfTheNextRequestAtOnceIsNotClosed(String part) throws Exception {
+        SocketPair first = client(true);
+        onThread(() -> {
+            first.send(HEALTH + part);
+            assertTrue(SocketReader.readNow(first.channel));
+            callers.allow(0);
+            assertEquals("o", openOf(first));
+        });
+        first.client.getOutputStream().write(HEALTH.substring(part.length()).getBytes(StandardCharsets.US_ASCII));
+        assertEquals(List.of("200", "200"), first.statuses(2));
+        onThread(() -> callers.allow(0));
+        assertTrue(first.ends());
+    }
+
     /** Guards the descriptors at a replacement, and against lost messages: the others may leave, if read dry. */
     @Test
     void fewerPlacesCloseOnlyWhatIsReadDry() throws Exception {
