Answer a half-read request at the orderly end before its connection closes

Symptom: at the orderly end the answer to one request closed the connection although part of the next had been read; its last byte was then discarded and the request ended with no answer.

Evidence: ServerConnectionTest.atTheOrderlyEndARequestThatIsHalfRead..., on real sockets: without the mend the connection ends where 202 is due.

At fault: Server.respond looked only at whole requests that are held back. Ruled out: an end that is put off, since a request that is never finished still ends its connection by RequestDeadline, as before.

--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -249,8 +250,7 @@
             response.headers().set(HttpHeaderNames.RETRY_AFTER,
                 String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
         }
-        // At the end of the process, whatever has been read is answered before the connection closes.
-        boolean close = !keep || leaving && !context.pipeline().get(RequestSequencer.class).holdsRequests();
+        boolean close = !keep || leaving && !broughtMore(context.pipeline());
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -260,4 +260,10 @@
         }
         return written;
     }
+
+    /** Whether a connection has brought a further request, or part of one, that is still to be answered. */
+    private static boolean broughtMore(ChannelPipeline pipeline) {
+        return pipeline.get(RequestSequencer.class).holdsRequests()
+            || pipeline.get(RequestDecoder.class).isWithinRequest();
+    }
 }
--- a/src/test/java/wrenkeel/net/ServerConnectionTest.java
+++ b/src/test/java/wrenkeel/net/ServerConnectionTest.java
@@ -11,6 +11,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -131,6 +132,20 @@
         }
     }
 
+    /** Guards against a lost message: at the orderly end a request that is half read is awaited and answered. */
+    @Test
+    void atTheOrderlyEndARequestThatIsHalfReadIsAnswered() throws Exception {
+        onThread(server::leave);
+        String second = post("b");
+        String half = second.substring(0, second.length() / 2);
+        try (var pair = connected(post("a") + half)) {
+            assertEquals("202", pair.status());
+            pair.client.getOutputStream().write(second.substring(half.length()).getBytes(StandardCharsets.US_ASCII));
+            assertEquals("202", pair.status());
+            assertTrue(pair.ends());
+        }
+    }
+
     /** Guards against a lost message: as the process ends, held requests hear that they were not taken on. */
     @Test
     void requestsHeldBackAsTheProcessEndsAreRefused() throws Exception {
