--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -67,7 +67,7 @@
     @Override
     protected void initChannel(Channel channel) {
         channel.pipeline().addLast(new SocketReader(clients), new LingeringClose(clients, lingerMillis),
-            new RequestDecoder(), new HttpResponseEncoder(), new RequestSequencer(), new Whole(),
+            new RequestDecoder(), new HttpResponseEncoder(), new RequestSequencer(), new RequestAggregator(),
             new RequestDeadline(clients, REQUEST_WITHIN), new Requests());
     }
 
@@ -92,8 +92,8 @@
     }
 
     /** Puts requests together; one that is too large is answered 413. */
-    private final class Whole extends HttpObjectAggregator {
-        Whole() {
+    private final class RequestAggregator extends HttpObjectAggregator {
+        RequestAggregator() {
             super(BODY_MOST, true);
         }
 
