--- a/src/main/java/wrenkeel/net/RequestDeadline.java
+++ b/src/main/java/wrenkeel/net/RequestDeadline.java
@@ -39,13 +39,6 @@
         context.fireChannelRead(message);
     }
 
-    /** Comes after bytes too that do not yet make a request. */
-    @Override
-    public void channelReadComplete(ChannelHandlerContext context) {
-        callers.heard(context.channel());
-        context.fireChannelReadComplete();
-    }
-
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         if (message instanceof LastHttpContent) {
@@ -64,8 +57,22 @@
     private void start(ChannelHandlerContext context) {
         stop();
         callers.awaited(context.channel());
+        RequestDecoder decoder = context.pipeline().get(RequestDecoder.class);
+        if (decoder != null && decoder.isWithinRequest()) {
+            // Part of the next request came with the one before.
+            callers.heard(context.channel());
+        }
         if (context.channel().isActive()) {
-            timer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+            timer = context.executor().schedule(() -> expire(context), millis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Reads what stands in the socket first: the request may have come while the thread was busy. */
+    void expire(ChannelHandlerContext context) {
+        Future<?> expired = timer;
+        SocketReader.readNow(context.channel());
+        if (timer == expired) {
+            context.close();
         }
     }
 
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -18,8 +19,8 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -37,6 +38,11 @@
      * a busy relay reads its last byte late.
      */
     private static final long REQUEST_WITHIN = 2_600;
+    /**
+     * ms a connection may stay after its last response. Together with the time for a request it is below 3 s;
+     * at the orderly end the process waits for it.
+     */
+    private static final long LINGER = 300;
     /** ms; a longer time for a message is taken for a mistake. */
     private static final long TIME_MOST = 3_600_000;
     /** ms; a client hears of its message at most 400 ms after sending it, and an end may come 300 ms late. */
@@ -44,16 +50,24 @@
 
     private final Loop loop;
     private final Callers clients;
+    private final long lingerMillis;
+    private final ThrottledLog turnedAway = new ThrottledLog(LOG);
     private boolean leaving;
 
     Server(Loop loop, Callers clients) {
+        this(loop, clients, LINGER);
+    }
+
+    Server(Loop loop, Callers clients, long lingerMillis) {
         this.loop = loop;
         this.clients = clients;
+        this.lingerMillis = lingerMillis;
     }
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new Whole(),
+        channel.pipeline().addLast(new SocketReader(clients), new LingeringClose(clients, lingerMillis),
+            new RequestDecoder(), new HttpResponseEncoder(), new RequestSequencer(), new RequestAggregator(),
             new RequestDeadline(clients, REQUEST_WITHIN), new Requests());
     }
 
@@ -77,17 +91,17 @@
         }
     }
 
-    /** Puts requests together; one that is too large is answered 413 and leaves a line in the log. */
-    private static final class Whole extends HttpObjectAggregator {
-        Whole() {
+    /** Puts requests together; one that is too large is answered 413. */
+    private final class RequestAggregator extends HttpObjectAggregator {
+        RequestAggregator() {
             super(BODY_MOST, true);
         }
 
         @Override
-        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized)
-            throws Exception {
-            LOG.warn("request turned away: 413 body over {} bytes", BODY_MOST);
-            super.handleOversizedMessage(context, oversized);
+        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+            logTurnedAway(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                "body over " + BODY_MOST + " bytes");
+            respond(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0, false);
         }
     }
 
@@ -113,7 +127,7 @@
                     loop.accept(message, new ToClient(context, message.id(), keep));
                 }
             } catch (Bad e) {
-                LOG.warn("request turned away: {} {}", e.status.code(), e.getMessage());
+                logTurnedAway(context, e.status, e.getMessage());
                 // A peer that asks for what no client asks for may have much more to send.
                 respond(context, e.status, 0, false);
             }
@@ -121,14 +135,21 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            // A client that leaves, also in the middle of its request, is no fault.
-            if (!(cause instanceof IOException || cause instanceof PrematureChannelClosureException)) {
+            if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+                // A client that leaves, also in the middle of its request, is no fault.
+                context.close();
+            } else {
                 LOG.error("connection of a client closed", cause);
+                // Also for a message that the relay has yet to answer: it is withdrawn, as its answer fails.
+                respond(context, HttpResponseStatus.INTERNAL_SERVER_ERROR, 0, false);
             }
-            context.close();
         }
     }
 
+    private void logTurnedAway(ChannelHandlerContext context, HttpResponseStatus status, String fault) {
+        turnedAway.warn(context.executor(), "request turned away: " + status.code() + " " + fault);
+    }
+
     private Message message(FullHttpRequest request, String path) throws Bad {
         HttpHeaders headers = request.headers();
         String[] parts = path.split("/");
@@ -230,7 +251,7 @@
             response.headers().set(HttpHeaderNames.RETRY_AFTER,
                 String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
         }
-        boolean close = !keep || leaving;
+        boolean close = !keep || leaving && !broughtMore(context.pipeline());
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -240,4 +261,10 @@
         }
         return written;
     }
+
+    /** Whether a connection has brought a further request, or part of one, that is still to be answered. */
+    private static boolean broughtMore(ChannelPipeline pipeline) {
+        return pipeline.get(RequestSequencer.class).holdsRequests()
+            || pipeline.get(RequestDecoder.class).isWithinRequest();
+    }
 }
