Make the tests of the lingering close wait for the reset they guard against

Without the mend they failed in most runs only: the reset comes when the selector lets go of the closed socket, and a fixed number of passes did not always reach that.

--- a/src/test/java/wrenkeel/net/SocketPair.java
+++ b/src/test/java/wrenkeel/net/SocketPair.java
@@ -52,6 +52,14 @@
         return accepted.socket().getInputStream().available();
     }
 
+    /** If the server has closed its socket, waits until the selector has let go of it: only then is it reset. */
+    void awaitRelease(EventLoop loop) throws Exception {
+        while (!accepted.isOpen() && accepted.isRegistered()) {
+            loop.submit(() -> { }).get();
+        }
+        loop.submit(() -> { }).get();
+    }
+
     /** The status of the next response, which must be whole. */
     String status() throws IOException {
         return Host.head(client.getInputStream()).get(0).substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length());
