Move the sending of notices out of Discovery into a class of its own

A move only: NoticeSender posts as Discovery did, over a NoticeConnection that it is given; NoticeBody writes the lines. A changed address closes the connection and opens another, as before.

--- a/src/main/java/wrenkeel/net/AgentConnection.java
+++ b/src/main/java/wrenkeel/net/AgentConnection.java
@@ -112,17 +112,15 @@
         }
     }
 
-    boolean isTo(InetSocketAddress address) {
-        return agent.equals(address);
-    }
-
+    /** Goes on at another address; a request under way ends without an answer. */
     void moveTo(InetSocketAddress next) {
         agent = next;
-        Channel old = channel;
-        channel = null;
-        if (old != null) {
-            old.close();
-        }
+        close();
+    }
+
+    /** Ends the connection; a request under way ends without an answer. The next one opens a new one. */
+    void close() {
+        drop();
         if (waiting != null) {
             ended(0, null);
         }
--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -1,26 +1,19 @@
 package wrenkeel.net;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
-import java.io.IOException;
-import java.io.StringWriter;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** The platform's agent: watches the list of hosts and posts notices. One thread. */
 final class Discovery {
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
-    private static final JsonFactory JSON = new JsonFactory();
     /**
      * ms; how long a watch may wait, and how long past that its answer is awaited. What a silent watch
      * misses counts as told 6 s after it fell silent: by then the list has been asked for anew, with time
@@ -37,7 +30,6 @@
      */
     static final long FAULT_GAP = 100, FAULT_GAP_MOST = 4_000;
     private static final int CONNECT_TIMEOUT = (int) NOTICE_PATIENCE;
-    private static final int NOTICES_MOST = 100;
 
     private final EventLoop loop;
     private final HostList hosts;
@@ -47,17 +39,12 @@
     }
 
     private final Listener whenListed;
-    private final Consumer<Journal.Entry> whenNoticed;
     private final AgentConnection watch;
-    private final AgentConnection reports;
-    private final Map<Long, Journal.Entry> notices = new LinkedHashMap<>();
-    private boolean posting;
-    /** The platform could not read one of them: each goes alone, so that it holds up no other. */
-    private boolean singly;
+    private final NoticeSender notices;
+    private InetSocketAddress agent;
     private boolean silent;
     /** The latest call for the list was answered: only then may the next one wait. */
     private boolean current;
-    private boolean unheard;
     /** Lists that came and could not be taken in: since the start, and since the last that could. */
     private long faults, faultsInARow;
 
@@ -66,9 +53,9 @@
         this.loop = loop;
         this.hosts = hosts;
         this.whenListed = whenListed;
-        this.whenNoticed = whenNoticed;
         this.watch = new AgentConnection(loop, bootstrap, agent, CONNECT_TIMEOUT);
-        this.reports = new AgentConnection(loop, bootstrap, agent, CONNECT_TIMEOUT);
+        this.agent = agent;
+        this.notices = new NoticeSender(loop, () -> new NoticePost(bootstrap), whenNoticed);
     }
 
     /**
@@ -122,11 +109,12 @@
 
     /** Goes on at another address; what is under way at the old one is asked or posted there again. */
     void moveTo(InetSocketAddress agent) {
-        if (watch.isTo(agent)) {
+        if (agent.equals(this.agent)) {
             return;
         }
+        this.agent = agent;
         watch.moveTo(agent);
-        reports.moveTo(agent);
+        notices.reconnect();
     }
 
     /** Once until the watch works again: it asks many times a second. */
@@ -139,65 +127,30 @@
 
     /** Posts the end of a message, again and again until the platform has it. */
     void notice(Journal.Entry entry) {
-        notices.put(entry.number, entry);
-        if (!posting) {
-            posting = true;
-            loop.execute(this::post);
-        }
+        notices.add(entry);
     }
 
     boolean noticesLeft() {
-        return !notices.isEmpty();
+        return notices.hasPending();
     }
 
-    private void post() {
-        if (notices.isEmpty()) {
-            posting = false;
-            singly = false;
-            return;
+    /** Posts notices over a kept connection to the agent's address of now. */
+    private final class NoticePost implements NoticeConnection {
+        private final AgentConnection connection;
+
+        NoticePost(Bootstrap bootstrap) {
+            connection = new AgentConnection(loop, bootstrap, agent, CONNECT_TIMEOUT);
         }
-        List<Journal.Entry> batch = notices.values().stream().limit(singly ? 1 : NOTICES_MOST).toList();
-        reports.ask(HttpMethod.POST, "/reports", lines(batch), NOTICE_PATIENCE, null, answer -> {
-            if (answer.status == 204) {
-                unheard = false;
-                for (Journal.Entry entry : batch) {
-                    notices.remove(entry.number);
-                    whenNoticed.accept(entry);
-                }
-                post();
-            } else {
-                if (!unheard) {
-                    LOG.warn("{} notices not acknowledged ({}), posted until they are", batch.size(),
-                        answer.status == 0 ? "no answer" : answer.status);
-                }
-                unheard = true;
-                if (answer.status == 400) {
-                    singly = true;
-                    // Behind the others; it is still owed, and tried again.
-                    batch.forEach(entry -> notices.put(entry.number, notices.remove(entry.number)));
-                }
-                loop.schedule(this::post, AGAIN, TimeUnit.MILLISECONDS);
-            }
-        });
-    }
 
-    static String lines(List<Journal.Entry> batch) {
-        StringWriter text = new StringWriter();
-        try (JsonGenerator out = JSON.createGenerator(text)) {
-            out.setRootValueSeparator(null);
-            for (Journal.Entry entry : batch) {
-                out.writeStartObject();
-                out.writeStringField("message", entry.message.id());
-                out.writeStringField("outcome", entry.end.handedBack() ? "handed_back" : "given_up");
-                if (entry.end.handedBack() && entry.end.retryAfter() > 0) {
-                    out.writeNumberField("retry_in_ms", (entry.end.retryAfter() + 999) / 1_000);
-                }
-                out.writeEndObject();
-                out.writeRaw('\n');
-            }
-        } catch (IOException e) {
-            throw new IllegalStateException("a string cannot fail to be written", e);
+        @Override
+        public void post(String body, IntConsumer whenAnswered) {
+            connection.ask(HttpMethod.POST, "/reports", body, NOTICE_PATIENCE, null,
+                answer -> whenAnswered.accept(answer.status));
+        }
+
+        @Override
+        public void close() {
+            connection.close();
         }
-        return text.toString();
     }
 }
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -84,7 +84,7 @@
                 {"message":"a","outcome":"handed_back","retry_in_ms":500}
                 {"message":"b","outcome":"handed_back"}
                 {"message":"c","outcome":"given_up"}
-                """, Discovery.lines(List.copyOf(journal.owed())));
+                """, NoticeBody.of(List.copyOf(journal.owed())));
         }
     }
 
