--- a/src/main/java/wrenkeel/net/NoticeBody.java
+++ b/src/main/java/wrenkeel/net/NoticeBody.java
@@ -10,8 +10,17 @@
 final class NoticeBody {
     private static final JsonFactory JSON = new JsonFactory();
 
+    /** Characters that a line has beside the id, and what an escaped character of an id takes at most. */
+    private static final int LINE_LENGTH = 96;
+    private static final int ESCAPED_LENGTH = 6;
+
     private NoticeBody() { }
 
+    /** The most bytes that the line for this end can have. */
+    static int maxLength(Journal.Entry entry) {
+        return LINE_LENGTH + ESCAPED_LENGTH * entry.message.id().length();
+    }
+
     static String of(List<Journal.Entry> batch) {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = JSON.createGenerator(text)) {
