Derive every wait on the way to the list from the one bound of 6 s

Symptom: after a silent watch, a connect that hangs and a list that is refused, the list may come later than 6 s after the silence; a change counts as told by then. Evidence: worked out from the constants of before: wait 4 s + 1 s slack, then the next call; with a call without an answer (0.5 s), its gap (0.1 s) and the next answer (0.5 s) it is 6.1 s, and a gap of 4 s between faults leaves 1.25 s for all calls behind it. Ruled out: the list's own length, for which an answer that keeps coming is still not given up (tests unchanged). Lines at fault: WAIT, WAIT_SLACK, NOTICE_PATIENCE as connect time-out and FAULT_GAP_MOST in Discovery. The gap test of DiscoveryTest reads the same bounds from ListTiming.

--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -14,22 +14,14 @@
 /** The platform's agent: watches the list of hosts and posts notices. One thread. */
 final class Discovery {
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
-    /**
-     * ms; how long a watch may wait, and how long past that its answer is awaited. What a silent watch
-     * misses counts as told 6 s after it fell silent: by then the list has been asked for anew, with time
-     * left to stop sending.
-     */
-    static final long WAIT = 4_000, WAIT_SLACK = 1_000;
-    /** ms; the shortest wait, of which an answer is had at once, and how long that answer is awaited. */
-    private static final long AT_ONCE = 1, AT_ONCE_PATIENCE = 500;
-    /** ms; a notice not acknowledged within this is posted again; gap between tries of either sort. */
-    private static final long NOTICE_PATIENCE = 2_000, AGAIN = 100;
-    /**
-     * ms; gap after a list that came and could not be taken in: doubled each time up to the most, a random
-     * part of it taken off. With the calls themselves it stays inside the 6 s after which a change is told.
-     */
-    static final long FAULT_GAP = 100, FAULT_GAP_MOST = 4_000;
-    private static final int CONNECT_TIMEOUT = (int) NOTICE_PATIENCE;
+    static final long WAIT = ListTiming.WATCH_WAIT_MS;
+    static final long WAIT_SLACK = ListTiming.WATCH_SLACK_MS;
+    /** The shortest wait, of which an answer is had at once. */
+    private static final long AT_ONCE_MS = 1;
+    /** How long a late answer to a post of notices is of use. */
+    private static final long NOTICE_TIMEOUT_MS = 2_000;
+    /** Doublings after which the gap has certainly reached its maximum. */
+    private static final int MAX_DOUBLINGS = 10;
 
     private final EventLoop loop;
     private final HostList hosts;
@@ -53,7 +45,7 @@
         this.loop = loop;
         this.hosts = hosts;
         this.whenListed = whenListed;
-        this.watch = new AgentConnection(loop, bootstrap, agent, CONNECT_TIMEOUT);
+        this.watch = new AgentConnection(loop, bootstrap, agent, (int) ListTiming.CONNECT_TIMEOUT_MS);
         this.agent = agent;
         this.notices = new NoticeSender(loop, () -> new NoticePost(bootstrap), whenNoticed);
     }
@@ -63,15 +55,15 @@
      * and those after one without an answer, do not wait: what the agent has binds already.
      */
     void watch() {
-        long wait = current ? WAIT : AT_ONCE;
+        long wait = current ? WAIT : AT_ONCE_MS;
         String query = hosts.version() < 0 ? "" : "?after=" + hosts.version() + "&wait_ms=" + wait;
-        long patience = current ? WAIT + WAIT_SLACK : AT_ONCE_PATIENCE;
+        long patience = current ? WAIT + WAIT_SLACK : ListTiming.ANSWER_TIMEOUT_MS;
         watch.ask(HttpMethod.GET, "/v1/servers" + query, "", patience, hosts::read, this::answered);
     }
 
     private void answered(AgentConnection.Answer answer) {
         current = false;
-        long gap = AGAIN;
+        long gap = ListTiming.RETRY_GAP_MS;
         try {
             if (answer.list != null) {
                 whenListed.listed(answer.list);
@@ -98,7 +90,8 @@
 
     /** ms until the list is asked for again, after so many faults in a row before this one. */
     static long gap(long before, double random) {
-        long most = Math.min(FAULT_GAP_MOST, FAULT_GAP << Math.min(before, 10));
+        long most = Math.min(ListTiming.MAX_FAULT_GAP_MS,
+            ListTiming.FIRST_FAULT_GAP_MS << Math.min(before, MAX_DOUBLINGS));
         return before == 0 ? most : (long) (most * (1 - random / 2));
     }
 
@@ -139,12 +132,12 @@
         private final AgentConnection connection;
 
         NoticePost(Bootstrap bootstrap) {
-            connection = new AgentConnection(loop, bootstrap, agent, CONNECT_TIMEOUT);
+            connection = new AgentConnection(loop, bootstrap, agent, (int) NOTICE_TIMEOUT_MS);
         }
 
         @Override
         public void post(String body, IntConsumer whenAnswered) {
-            connection.ask(HttpMethod.POST, "/reports", body, NOTICE_PATIENCE, null,
+            connection.ask(HttpMethod.POST, "/reports", body, NOTICE_TIMEOUT_MS, null,
                 answer -> whenAnswered.accept(answer.status));
         }
 
--- a/src/test/java/wrenkeel/net/DiscoveryTest.java
+++ b/src/test/java/wrenkeel/net/DiscoveryTest.java
@@ -161,13 +161,13 @@
     /** Guards the machine against a loop at full speed, and the rule that a change is told 6 s after. */
     @Test
     void faultsInARowAreAskedAfterByGrowingGapsInsideTheSixSeconds() {
-        assertEquals(Discovery.FAULT_GAP, Discovery.gap(0, 0.999));
+        assertEquals(ListTiming.FIRST_FAULT_GAP_MS, Discovery.gap(0, 0.999));
         for (int n = 1; n < 200; n++) {
             long longest = Discovery.gap(n, 0);
             assertTrue(longest >= Discovery.gap(n - 1, 0));
             assertTrue(Discovery.gap(n, 0.999) >= longest / 2 && Discovery.gap(n, 0.999) < longest, "with jitter");
-            assertTrue(longest <= Discovery.FAULT_GAP_MOST && longest < 6_000);
+            assertTrue(longest <= ListTiming.MAX_FAULT_GAP_MS && longest < 6_000);
         }
-        assertEquals(Discovery.FAULT_GAP_MOST, Discovery.gap(200, 0));
+        assertEquals(ListTiming.MAX_FAULT_GAP_MS, Discovery.gap(200, 0));
     }
 }
