Ask for the list at once at an address that a reload names during a gap

Symptom: after SIGHUP the list may be asked for at the new address only once a gap after faults of the old one is over, which with the first call can take most of the 4 s after which it counts as told. Evidence: DiscoveryTest.anotherAddressIsAskedAtOnce... moves in the very task that sees the gap: without the mend no call is under way then. Ruled out: a call under way, which already ended and was asked again. Lines at fault: Discovery.moveTo, which touched the connection and not the scheduled call.

--- a/src/main/java/wrenkeel/net/AgentConnection.java
+++ b/src/main/java/wrenkeel/net/AgentConnection.java
@@ -126,6 +126,11 @@
         }
     }
 
+    /** True while a request is under way. */
+    boolean isBusy() {
+        return waiting != null;
+    }
+
     private void write(Channel to, FullHttpRequest request) {
         to.writeAndFlush(request).addListener(done -> {
             if (!done.isSuccess()) {
--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,8 @@
     private final AgentConnection watch;
     private final NoticeSender notices;
     private InetSocketAddress agent;
+    /** The next call for the list, while there is a gap before it; null at first. */
+    private Future<?> next;
     private boolean silent;
     /** The latest call for the list was answered: only then may the next one wait. */
     private boolean current;
@@ -85,7 +88,7 @@
             // Guards the watch: it must go on whatever the list held.
             complain("discovery's list could not be taken in", e);
         }
-        loop.schedule(this::watch, gap, TimeUnit.MILLISECONDS);
+        next = loop.schedule(this::watch, gap, TimeUnit.MILLISECONDS);
     }
 
     /** ms until the list is asked for again, after so many faults in a row before this one. */
@@ -107,6 +110,11 @@
         }
         this.agent = agent;
         watch.moveTo(agent);
+        // A gap after faults of the old address binds nothing at the new one.
+        faultsInARow = 0;
+        if (next != null && next.cancel(false)) {
+            watch();
+        }
         notices.reconnect();
     }
 
@@ -123,6 +131,11 @@
         notices.add(entry);
     }
 
+    /** True while a call for the list is under way, false in a gap before one. */
+    boolean isAsking() {
+        return watch.isBusy();
+    }
+
     boolean noticesLeft() {
         return notices.hasPending();
     }
--- a/src/test/java/wrenkeel/net/DiscoveryTest.java
+++ b/src/test/java/wrenkeel/net/DiscoveryTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -170,4 +171,32 @@
         }
         assertEquals(ListTiming.MAX_FAULT_GAP_MS, Discovery.gap(200, 0));
     }
+
+    /** Guards the rule on reloads: a gap after faults of the old address delays nothing at the new one. */
+    @Test
+    void anotherAddressIsAskedAtOnceWhateverGapTheOldOneHasLeft() throws Exception {
+        asked();
+        write(answer("[]"));
+        try (ServerSocket other = new ServerSocket(0, 8, Platform.LOOPBACK)) {
+            other.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Platform.PATIENCE_S));
+            // In the task that sees the gap, before any later one: what is due now has been begun.
+            Callable<Boolean> movedInGap = () -> {
+                if (discovery.isAsking()) {
+                    return false;
+                }
+                discovery.moveTo(new InetSocketAddress(Platform.LOOPBACK, other.getLocalPort()));
+                assertTrue(discovery.isAsking(), "the call for the list waits for the gap");
+                return true;
+            };
+            long by = System.nanoTime() + TimeUnit.SECONDS.toNanos(Platform.PATIENCE_S);
+            while (!thread.submit(movedInGap).get()) {
+                assertTrue(System.nanoTime() < by, "no gap seen");
+            }
+            line.close();
+            line = other.accept();
+            asked();
+            write(answer(FIRST));
+            assertEquals(1, told().endpoints().size());
+        }
+    }
 }
