--- a/src/test/java/wrenkeel/net/DiscoveryTest.java
+++ b/src/test/java/wrenkeel/net/DiscoveryTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -161,13 +162,41 @@
     /** Guards the machine against a loop at full speed, and the rule that a change is told 6 s after. */
     @Test
     void faultsInARowAreAskedAfterByGrowingGapsInsideTheSixSeconds() {
-        assertEquals(Discovery.FAULT_GAP, Discovery.gap(0, 0.999));
+        assertEquals(ListTiming.FIRST_FAULT_GAP_MS, Discovery.gap(0, 0.999));
         for (int n = 1; n < 200; n++) {
             long longest = Discovery.gap(n, 0);
             assertTrue(longest >= Discovery.gap(n - 1, 0));
             assertTrue(Discovery.gap(n, 0.999) >= longest / 2 && Discovery.gap(n, 0.999) < longest, "with jitter");
-            assertTrue(longest <= Discovery.FAULT_GAP_MOST && longest < 6_000);
+            assertTrue(longest <= ListTiming.MAX_FAULT_GAP_MS && longest < 6_000);
+        }
+        assertEquals(ListTiming.MAX_FAULT_GAP_MS, Discovery.gap(200, 0));
+    }
+
+    /** Guards the rule on reloads: a gap after faults of the old address delays nothing at the new one. */
+    @Test
+    void anotherAddressIsAskedAtOnceWhateverGapTheOldOneHasLeft() throws Exception {
+        asked();
+        write(answer("[]"));
+        try (ServerSocket other = new ServerSocket(0, 8, Platform.LOOPBACK)) {
+            other.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Platform.PATIENCE_S));
+            // In the task that sees the gap, before any later one: what is due now has been begun.
+            Callable<Boolean> movedInGap = () -> {
+                if (discovery.isAsking()) {
+                    return false;
+                }
+                discovery.moveTo(new InetSocketAddress(Platform.LOOPBACK, other.getLocalPort()));
+                assertTrue(discovery.isAsking(), "the call for the list waits for the gap");
+                return true;
+            };
+            long by = System.nanoTime() + TimeUnit.SECONDS.toNanos(Platform.PATIENCE_S);
+            while (!thread.submit(movedInGap).get()) {
+                assertTrue(System.nanoTime() < by, "no gap seen");
+            }
+            line.close();
+            line = other.accept();
+            asked();
+            write(answer(FIRST));
+            assertEquals(1, told().endpoints().size());
         }
-        assertEquals(Discovery.FAULT_GAP_MOST, Discovery.gap(200, 0));
     }
 }
