Hold cold returns where no limit is listed to what was carried before and answered since

Symptom: a fleet of relays pushes a destination that comes back cold over N + 2 x root of N + 2 calls in the rule's span.

Lines at fault: budgetAt took an unlisted limit for 1,000,000 calls a second, so that it bound nobody. It went by usualRate, read right after a message, which adds one call in 15 s for each relay. It was kept for each route, and a suspected route of a confirmed outage was not held to it.

Change: where no rate is listed, the part is what the relay carried before the outage, or what was answered since if that is more: answers sum to no more than the capacity. The slack is divided so that its sum is at most the rule's (sum of root(part / n) is at most the root of the sum). Calls are counted in a sliding window of the lane; a call that failed shows that the outage was not over, so it and those before it do not count. Relays with less than one call in a window come at random. Listed rates keep their spacing, with what was carried in place of what comes in.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -333,7 +333,7 @@
 
     /** When to hand a refused message in again: once a route is open and those that wait have gone. */
     private long comeBack(Dest d) {
-        long opens = d.routes.values().stream().mapToLong(this::closedUntil).min().orElse(now);
+        long opens = d.routes.values().stream().mapToLong(Route::closedUntil).min().orElse(now);
         long queue = (long) (d.waiting / d.window * Math.max(d.latest, FIRST_DELAY));
         return Math.min(set.allowed().longestAdvice(), Math.max(opens - now, queue));
     }
@@ -621,7 +621,7 @@
             slotsUsed++;
             r.dest.calls++;
             r.lane.bucket.tokens--;
-            r.lane.mark(now, PACE_SPAN);
+            r.lane.sent.mark(now, PACE_SPAN);
             if (!r.idle.isEmpty() && r.idle.peekLast() < now - trusts[r.kind]) {
                 drop(r);
             }
@@ -706,10 +706,6 @@
         return (int) Math.max(1, Math.min(d.window, cap));
     }
 
-    private static boolean sound(Dest d) {
-        return d.routes.values().stream().anyMatch(r -> r.health == Health.GOOD);
-    }
-
     private static boolean slow(Dest d) {
         return d.usual > 0 && d.latest > SLOW * d.usual;
     }
@@ -811,15 +807,15 @@
         if (set.weights() == Weights.NONE && lane.met == 0) {
             int bundle = set.kinds().get(r.kind).bundle();
             double start = startPace(r.kind);
-            double seen = Math.max(r.dest.usualRate / bundle, lane.rate(now, PACE_SPAN, PACE_SPAN));
+            double seen = Math.max(r.dest.usualRate / bundle, lane.sent.perSecond(now, PACE_SPAN, PACE_SPAN));
             // After a restart all relays hold what came in meanwhile: that is no rate to begin with.
-            double bound = start * Math.pow(PACE_AHEAD, (double) lane.age(now) / SECOND);
+            double bound = start * Math.pow(PACE_AHEAD, (double) lane.sent.age(now) / SECOND);
             lane.pace = Math.min(bound, Math.max(start, PACE_AHEAD * seen));
         } else if (set.weights() == Weights.NONE) {
             double span = (PROBE_CALLS + set.relays()) / lane.met * SECOND;
             span = Math.max(PROBE_LEAST, Math.min(PROBE_MOST, span));
             double past = (now - lane.metAt) / span - 1;
-            double most = PACE_AHEAD * Math.max(lane.met, lane.rate(now, PACE_SPAN));
+            double most = PACE_AHEAD * Math.max(lane.met, lane.sent.perSecond(now, PACE_SPAN));
             lane.pace = Math.min(most, lane.met * (1 + PACE_DIP * past * past * past));
         }
     }
@@ -834,7 +830,8 @@
         } else if (a.sent >= lane.metAt && a.route.health == Health.GOOD) {
             // What was sent of late was too much; calls already out then say nothing new, and what a cold
             // partner bears is no limit.
-            double met = Math.min(lane.pace, lane.rate(now, PACE_SPAN)) * (d.refusals > 1 ? LIMIT_DROP : 1);
+            double sent = Math.min(lane.pace, lane.sent.perSecond(now, PACE_SPAN));
+            double met = sent * (d.refusals > 1 ? LIMIT_DROP : 1);
             // No slower than what comes in, in full bundles: else it is the pace that makes messages late.
             // Many relays that each insist on that would run into a limit below it all the time.
             int bundle = set.kinds().get(a.route.kind).bundle();
@@ -874,6 +871,10 @@
             double grown = lane.pace + PACE_GROW * paceLeast(lane);
             lane.pace = Math.max(lane.pace, Math.min(paceMost(lane), grown));
         }
+        lane.carried.mark(now, RATE_SPAN);
+        if (set.weights() == Weights.NONE && r.health != Health.GOOD && a.sent >= r.outSince) {
+            lane.cold.answers.mark(now, set.rules().tipAfter());
+        }
         r.lastOk = now;
         r.lastOkSent = Math.max(r.lastOkSent, a.sent);
         r.failing *= 1 - OUTCOME_WEIGHT;
@@ -896,6 +897,7 @@
     private void failed(Attempt a) {
         Route r = a.route;
         r.failing += OUTCOME_WEIGHT * (1 - r.failing);
+        r.lane.metOutage(a.sent);
         boolean prevails = r.failing >= OUTAGE_SHARE;
         if (a.sent >= r.lastOkSent) {
             r.failRun++;
@@ -913,13 +915,14 @@
     /** Trials only. One failure is a suspicion, which one answer clears; an outage ends in a ramp. */
     private void outage(Route r, boolean confirmed) {
         if (r.health != Health.OUT) {
+            beginCold(r);
             r.confirmed = false;
             r.outSince = now;
-            r.spacing = 2 * random.nextDouble();
         }
         r.health = Health.OUT;
         if (confirmed && !r.confirmed) {
             r.confirmed = true;
+            r.lane.cold.confirmed = true;
             note(r);
             log(r, "fails or refuses, trials only");
             // Routes of a destination mostly fail together: those not heard from must answer a trial.
@@ -932,16 +935,10 @@
         }
     }
 
-    /** When the told wait and the back-offs of a route are over. */
-    private long closedUntil(Route r) {
-        return Math.max(Math.max(r.backoffUntil, r.dest.backoffUntil),
-            Math.max(r.lane.waitUntil, r.lane.backoffUntil));
-    }
-
     /** When the route may take another message: waits, back-off, pace; after failures, trials or ramp. */
     private long opens(Route r, boolean joins) {
         Lane lane = r.lane;
-        long when = closedUntil(r);
+        long when = r.closedUntil();
         if (r.health == Health.RETURNING && now - r.returnAt >= set.rules().cold()) {
             r.health = Health.GOOD;
             r.failing = 0;
@@ -953,7 +950,7 @@
             }
             when = Math.max(when, r.outSince + TRIAL_GAP);
         }
-        if (r.health != Health.GOOD && r.confirmed && !joins) {
+        if (!joins && r.health != Health.GOOD && (r.confirmed || lane.cold.confirmed)) {
             when = Math.max(when, budgetAt(r));
         }
         regain(r);
@@ -964,26 +961,56 @@
         return when;
     }
 
+    /** Opens the account of a lane none of whose routes has been out or returning. */
+    private void beginCold(Route r) {
+        if (r.dest.coldRoutes(r.lane) == 0) {
+            double carried = r.lane.carried.perSecond(now, RATE_SPAN, Math.max(RATE_AGE, now - beganAt));
+            r.lane.cold = new Cold(carried, now, 2 * random.nextDouble());
+        }
+    }
+
     /**
-     * The earliest time for another call within this relay's part of what a cold route bears. The part is the
-     * mean of an even one and of what it usually sends: hundreds that each scale their own fit together.
+     * This relay's part of the calls that a cold lane bears in a window: by what it carried before the
+     * outage, or had answered since if that is more; if a rate is listed, by the mean of what it carried and
+     * an even part of the rate.
      */
-    private long budgetAt(Route r) {
+    private double coldCalls(Route r) {
         Rules rules = set.rules();
         double warm = rules.coldFrom();
         if (r.health == Health.RETURNING) {
             double age = Math.max(0, now - r.returnAt - rules.tipAfter() / 2);
             warm += (1 - warm) * Math.min(1, age / Math.max(1, rules.cold()));
         }
+        Cold cold = r.lane.cold;
+        double part = cold.carriedBefore > 0 ? cold.carriedBefore : r.dest.usualRate;
         double even = listedRate(r.lane) / (set.weights() == Weights.ROUGH ? ROUGH_OVER : 1) / set.relays();
-        double part = (even + r.dest.usualRate) / 2 / Math.max(1, r.dest.routes.size());
-        double rate = Math.max(RATE_LEAST, BUDGET_USED * rules.fallMultiple() * warm * part);
-        return Math.max(r.lane.waitUntil, r.lastSent) + (long) (r.spacing * SECOND / rate);
+        part = set.weights() == Weights.NONE ? part : (part + even) / 2;
+        part *= r.lane == r.dest.shared ? (double) r.dest.coldRoutes(r.lane) / r.dest.routes.size() : 1;
+        double borne = warm * part * rules.tipAfter() / SECOND;
+        borne = Math.max(borne, cold.answers.counted(now, rules.tipAfter()));
+        return Math.max(RATE_LEAST, BUDGET_USED * rules.fallMultiple() * borne);
+    }
+
+    /**
+     * The earliest time for another call to a cold lane. Where no rate is listed, the rule's slack is shared:
+     * over n relays, root(part / n) sums to at most the root of all parts, however uneven. A relay with less
+     * than one call in a window spaces its calls at random, and leaves half of its slack for chance.
+     */
+    private long budgetAt(Route r) {
+        Cold cold = r.lane.cold;
+        long window = set.rules().tipAfter();
+        double calls = coldCalls(r);
+        boolean listed = set.weights() != Weights.NONE;
+        double slack = listed ? 0 : 2 * Math.sqrt(calls / set.relays()) + 2.0 / set.relays();
+        int whole = listed ? 0 : (int) (calls + slack);
+        long spaced = cold.lastSent + (long) (cold.spacing * window / (calls + slack / 2));
+        return Math.max(r.lane.waitUntil, whole < 1 ? spaced : cold.calls.fewerThan(whole, now, window));
     }
 
     private void sent(Route r, Attempt a) {
-        r.lastSent = now;
-        r.spacing = 0.5 + random.nextDouble();
+        if (r.health != Health.GOOD && a.call.size == 1) {
+            r.lane.cold.sent(now, 0.5 + random.nextDouble());
+        }
         if (r.health == Health.OUT) {
             r.trials++;
             a.trial = true;
@@ -1010,9 +1037,9 @@
      */
     public List<Known> knowledge() {
         Comparator<Route> first = Comparator.comparingInt(r -> r.lane.waitUntil > now ? 0
-            : r.health != Health.GOOD || closedUntil(r) > now ? 1 : 2);
+            : r.health != Health.GOOD || r.closedUntil() > now ? 1 : 2);
         return routes.values().stream().sorted(first).map(r -> new Known(r.id, r.lane.waitUntil,
-            closedUntil(r), r.health == Health.OUT, r.health == Health.RETURNING ? r.returnAt : 0,
+            r.closedUntil(), r.health == Health.OUT, r.health == Health.RETURNING ? r.returnAt : 0,
             r.lane.pace, r.dest.window, r.latency)).toList();
     }
 
@@ -1035,6 +1062,7 @@
         if (e.out()) {
             outage(r, true);
         } else if (e.returnedAt() != 0) {
+            beginCold(r);
             r.health = Health.RETURNING;
             r.confirmed = true;
             r.returnAt = e.returnedAt();
@@ -1119,9 +1147,9 @@
             }
         }
         // A new endpoint is cold, and the messages held for a failing destination would all go there at once.
-        if (!r.dest.routes.isEmpty() && !sound(r.dest)) {
+        if (!r.dest.routes.isEmpty() && !r.dest.sound()) {
             outage(r, true);
-            r.lastSent = now;
+            r.lane.cold.lastSent = now;
         }
         routes.put(r.id, r);
         return r;
@@ -1204,7 +1232,7 @@
     private boolean rests(Dest d) {
         boolean rests = d.held > 0 || d.calls > 0 || d.elsewhere > 0 || d.gone > 0;
         for (Route r : d.routes.values()) {
-            rests |= r.inflight > 0 || closedUntil(r) > now
+            rests |= r.inflight > 0 || r.closedUntil() > now
                 || r.health == Health.OUT && now - d.usedAt < FORGET
                 || r.health == Health.RETURNING && now - r.returnAt < set.rules().cold();
         }
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -149,30 +149,98 @@
         /** {@code met}: the pace at which the limit was last met, at {@code metAt}. */
         double weight, pace, met;
         long waitUntil, backoffUntil, metAt;
-        private double calls;
-        private long calledAt, firstAt = -1;
+        /** Its calls, and those of them that delivered. */
+        final Rate sent = new Rate(), carried = new Rate();
+        /** The account of its latest outage and of the return from it; null before the first. */
+        Cold cold;
+
+        /** A call sent at that time failed: what went out up to then met the outage and does not count. */
+        void metOutage(long sent) {
+            if (cold != null) {
+                cold.calls.forgetUpTo(sent);
+            }
+        }
+    }
+
+    /** What a lane got since the first of its routes went out, and what it carried before. */
+    static final class Cold {
+        /** Calls a second that the lane carried up to then. */
+        final double carriedBefore;
+        /** Calls to routes that were out or returning, those left out that met the outage. */
+        final Times calls = new Times();
+        /** Deliveries since then. */
+        final Rate answers = new Rate();
+        /** The outage is beyond suspicion. */
+        boolean confirmed;
+        /** When the latest call went out, and the random spread of the next one. */
+        long lastSent;
+        double spacing;
+
+        Cold(double carriedBefore, long now, double spacing) {
+            this.carriedBefore = carriedBefore;
+            lastSent = now;
+            this.spacing = spacing;
+        }
+
+        void sent(long now, double nextSpacing) {
+            calls.add(now);
+            lastSent = now;
+            spacing = nextSpacing;
+        }
+    }
+
+    /** Points in time, in order. */
+    static final class Times {
+        private final ArrayDeque<Long> times = new ArrayDeque<>(2);
+
+        void add(long time) {
+            times.addLast(time);
+        }
+
+        void forgetUpTo(long time) {
+            while (!times.isEmpty() && times.peekFirst() <= time) {
+                times.pollFirst();
+            }
+        }
+
+        /** The earliest time, from now on, at which fewer than so many lie within the span up to it. */
+        long fewerThan(int most, long now, long span) {
+            forgetUpTo(now - span);
+            int over = times.size() - most;
+            return over < 0 ? now : times.stream().skip(over).findFirst().orElseThrow() + span;
+        }
+    }
+
+    /** Counts what happens over an exponential span. */
+    static final class Rate {
+        private double counted;
+        private long countedAt, firstAt = -1;
 
-        /** Counts a call into the rate over an exponential span. */
         void mark(long now, long span) {
-            calls = calls * Math.exp((double) (calledAt - now) / span) + 1;
-            calledAt = now;
+            counted = counted(now, span) + 1;
+            countedAt = now;
             firstAt = firstAt < 0 ? now : firstAt;
         }
 
-        /** How long ago its first call was made; 0 before that. */
+        /** How many of late: each counts the less, the longer ago it was. */
+        double counted(long now, long span) {
+            return counted * Math.exp((double) (countedAt - now) / span);
+        }
+
+        /** How long ago the first was counted; 0 before that. */
         long age(long now) {
             return firstAt < 0 ? 0 : now - firstAt;
         }
 
-        /** Calls a second of late, of a lane that may be younger than the span. */
-        double rate(long now, long span) {
-            return rate(now, span, 1);
+        /** How many a second of late; the span may be longer than it has counted. */
+        double perSecond(long now, long span) {
+            return perSecond(now, span, 1);
         }
 
-        /** The same, of a lane taken to be of some age: a first call or two make no rate. */
-        double rate(long now, long span, long leastAge) {
-            double counted = calls * Math.exp((double) (calledAt - now) / span);
-            return counted * 1e6 / (span * -Math.expm1(-(double) Math.max(leastAge, now - firstAt) / span));
+        /** The same, taken to have counted for some time at least: a first one or two make no rate. */
+        double perSecond(long now, long span, long leastAge) {
+            long age = Math.max(leastAge, now - firstAt);
+            return counted(now, span) * 1e6 / (span * -Math.expm1(-(double) age / span));
         }
     }
 
@@ -187,13 +255,18 @@
         Health health = Health.GOOD;
         int inflight, failRun, trials, overdue;
         double latency, failing;
-        long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt, lastSent;
-        double spacing;
+        long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt;
         final ArrayDeque<Long> idle = new ArrayDeque<>(2);
         Call bundle;
         /** {@code goneAt}: -1 while it is not off the list. */
         long bundleTurn = -1, goneAt = -1;
 
+        /** When the told wait and the back-offs are over. */
+        long closedUntil() {
+            return Math.max(Math.max(backoffUntil, dest.backoffUntil),
+                Math.max(lane.waitUntil, lane.backoffUntil));
+        }
+
         /** True when a connection idle since no earlier than that is left. */
         boolean warm(long since) {
             while (!idle.isEmpty() && idle.peekFirst() <= since) {
@@ -216,8 +289,8 @@
         Band[] bands;
         final Answers answers;
         Lane shared;
-        private double marks;
-        private long markedAt;
+        /** Messages that come in for it. */
+        private final Rate accepted = new Rate();
         /** Messages a second that come in for it, when the last one came. */
         double usualRate;
         double window = 1, copies = 1, latest, usual;
@@ -251,6 +324,16 @@
             return owed.peek();
         }
 
+        /** True when a route answers and is not held to the return budget. */
+        boolean sound() {
+            return routes.values().stream().anyMatch(r -> r.health == Health.GOOD);
+        }
+
+        /** Routes of a lane that are out or returning. */
+        long coldRoutes(Lane lane) {
+            return routes.values().stream().filter(r -> r.lane == lane && r.health != Health.GOOD).count();
+        }
+
         /** Makes room for the bands of further classes. */
         void widen(int most) {
             bands = Arrays.copyOf(bands, most);
@@ -263,9 +346,8 @@
 
         /** Counts a message into the rate over an exponential span; {@code age}: counted how long. */
         void mark(long now, long span, long age) {
-            marks = marks * Math.exp((double) (markedAt - now) / span) + 1;
-            markedAt = now;
-            usualRate = marks * 1e6 / (span * -Math.expm1(-(double) age / span));
+            accepted.mark(now, span);
+            usualRate = accepted.perSecond(now, span, age);
         }
     }
 
