Take three refusals in a row, not five, for a shut destination

Symptom: relays that were refused, and so know of the outage, together push a destination of a listed rate over the bound when it opens again, at 120 relays.

Line at fault: SHUT_RUN. A relay that sends a call in ten seconds meets three refusals in an outage of 10 s, not five; it was never held to the return budget.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -73,7 +73,7 @@
     private static final long BACKOFF = 500 * MS, BACKOFF_LEAST = 150 * MS,
         BACKOFF_MID = 2 * SECOND, BACKOFF_MOST = 8 * SECOND;
     /** Shut rather than full: a told wait (us) past any limit span, or so many back-offs in a row. */
-    private static final long SHUT_TOLD = 5 * SECOND / 2, SHUT_RUN = 5;
+    private static final long SHUT_TOLD = 5 * SECOND / 2, SHUT_RUN = 3;
     /** Failures in a row, or a share of recent calls, that mean an outage; a new outcome's weight. */
     private static final int OUTAGE_RUN = 3;
     private static final double OUTAGE_SHARE = 0.6, OUTCOME_WEIGHT = 0.2;
--- a/src/test/java/wrenkeel/ColdReturnTest.java
+++ b/src/test/java/wrenkeel/ColdReturnTest.java
@@ -80,4 +80,10 @@
         play(Weights.NOMINAL, Outage.SILENT, ColdReturnTest::toldRelaysWithinTheBound);
         play(Weights.ROUGH, Outage.SILENT, ColdReturnTest::toldRelaysWithinTheBound);
     }
+
+    @Test
+    void listedAfterBeingShut() {
+        play(Weights.NOMINAL, Outage.SHUT, ColdReturnTest::withinTheBound);
+        play(Weights.ROUGH, Outage.SHUT, ColdReturnTest::withinTheBound);
+    }
 }
