Let a relay that carried little send a cold lane half of what comes in to it

A relay whose part was next to nothing waited minutes between its trials and found the destination back after its messages' time was up.

Line at fault: coldCalls went by what was carried alone unless that was exactly 0.

The sum of the parts is no longer bound by what was carried alone; it may go over that by half of what comes in to the relays that carried less than that half.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -95,6 +95,8 @@
     private static final long TRIAL_GAP = 400 * MS, SUSPICION = 2 * SECOND;
     /** Part of the return budget used: leaves room for chance and for calls already under way. */
     private static final double BUDGET_USED = 0.95;
+    /** Part of what comes in that a relay may send to a cold lane to which it carried less before. */
+    private static final double QUIET_PART = 0.5;
     /** A rough weight may be this much over the truth. */
     private static final double ROUGH_OVER = 1.5;
     /** s; a tenant inside its share may run ahead of it by this much. */
@@ -972,7 +974,7 @@
     /**
      * This relay's part of the calls that a cold lane bears in a window: by what it carried before the
      * outage, or had answered since if that is more; if a rate is listed, by the mean of what it carried and
-     * an even part of the rate.
+     * an even part of the rate. Relays that carried next to nothing would else never find the lane back.
      */
     private double coldCalls(Route r) {
         Rules rules = set.rules();
@@ -982,7 +984,7 @@
             warm += (1 - warm) * Math.min(1, age / Math.max(1, rules.cold()));
         }
         Cold cold = r.lane.cold;
-        double part = cold.carriedBefore > 0 ? cold.carriedBefore : r.dest.usualRate;
+        double part = Math.max(cold.carriedBefore, QUIET_PART * r.dest.usualRate);
         double even = listedRate(r.lane) / (set.weights() == Weights.ROUGH ? ROUGH_OVER : 1) / set.relays();
         part = set.weights() == Weights.NONE ? part : (part + even) / 2;
         part *= r.lane == r.dest.shared ? (double) r.dest.coldRoutes(r.lane) / r.dest.routes.size() : 1;
--- a/src/test/java/wrenkeel/ColdReturnTest.java
+++ b/src/test/java/wrenkeel/ColdReturnTest.java
@@ -86,4 +86,17 @@
         play(Weights.NOMINAL, Outage.SHUT, ColdReturnTest::withinTheBound);
         play(Weights.ROUGH, Outage.SHUT, ColdReturnTest::withinTheBound);
     }
+
+    /** A relay that carried little before the outage still finds out in time that it is over. */
+    @Test
+    void fewMessagesOfQuietRelaysEndWithoutACall() {
+        for (Outage outage : List.of(Outage.REFUSED, Outage.SILENT)) {
+            double untried = 0;
+            for (long seed = 1; seed <= SEEDS; seed++) {
+                Scenario scenario = new Scenario(120, outage, Weights.NONE, CAPACITY, seed);
+                untried += ColdFleet.play(scenario).untried() / SEEDS;
+            }
+            assertTrue(untried < 0.025, outage + " " + untried);
+        }
+    }
 }
