--- a/src/test/java/wrenkeel/net/HostListTest.java
+++ b/src/test/java/wrenkeel/net/HostListTest.java
@@ -67,6 +67,19 @@
         assertTrue(listed.endpoints().get(0).id() >= 0 && listed.endpoints().get(0).id() < 1L << 32);
     }
 
+    /** Lists may come indented: white space between the tokens changes nothing. */
+    @Test
+    void anIndentedListIsThatList() throws IOException {
+        String list = Platform.list(4, true, NAMED, Platform.host("s-2", 81, 7, "draining"));
+        String indented = list.replace("{", "{\n  ").replace("}", "\r\n}").replace("[", "[\n\t").replace("]", "\n ]")
+            .replace(",", " ,\n    ").replace("\":", "\" :  ");
+        HostList plain = list(7);
+        HostList other = list(7);
+        assertEquals(update(plain, list), update(other, indented));
+        assertEquals(4, other.version());
+        assertEquals(2, other.listed());
+    }
+
     /** "plumless" and "buckeroo" have one CRC-32: they must still be two hosts. */
     @Test
     void namesThatCollideGetNumbersOfTheirOwn() throws IOException {
