End a request to the agent for which there is no descriptor at once, on the relay's thread

Where idle clients hold all descriptors, opening a channel fails before it is registered. The future's listener then ran on another thread, and close() on the channel that never was threw there, so that the request ended only when its time was up: 2 s for a notice, 0.5 s for the list. Line at fault: AgentConnection.ask, the listener of bootstrap.connect(agent). AgentConnectionTest fails without it: no answer within 30 s, on a request with an hour to wait.

--- a/src/main/java/wrenkeel/net/AgentConnection.java
+++ b/src/main/java/wrenkeel/net/AgentConnection.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -64,9 +65,15 @@
     private long askedAt, patience;
 
     AgentConnection(EventLoop loop, Bootstrap bootstrap, InetSocketAddress agent, int connectTimeout) {
+        this(loop, bootstrap, NioSocketChannel::new, agent, connectTimeout);
+    }
+
+    /** {@code sockets}: makes the channels; it fails where the process has no descriptor left. */
+    AgentConnection(EventLoop loop, Bootstrap bootstrap, ChannelFactory<Channel> sockets,
+                    InetSocketAddress agent, int connectTimeout) {
         this.loop = loop;
         this.agent = agent;
-        this.bootstrap = bootstrap.clone(loop).channel(NioSocketChannel.class)
+        this.bootstrap = bootstrap.clone(loop).channelFactory(sockets)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<Channel>() {
@@ -99,17 +106,34 @@
         if (channel != null && channel.isActive()) {
             write(channel, request);
         } else {
-            ChannelFuture connect = bootstrap.connect(agent);
-            channel = connect.channel();
-            connect.addListener(done -> {
-                if (done.isSuccess()) {
-                    write(connect.channel(), request);
-                } else {
-                    request.release();
-                    broken(connect.channel());
+            connect(request);
+        }
+    }
+
+    private void connect(FullHttpRequest request) {
+        ChannelFuture connect = bootstrap.connect(agent);
+        if (!connect.channel().isRegistered()) {
+            // Without a descriptor there is no channel that could be closed, and the listeners of its
+            // future are called on another thread.
+            channel = null;
+            request.release();
+            Consumer<Answer> asked = waiting;
+            loop.execute(() -> {
+                if (waiting == asked) {
+                    broken(null);
                 }
             });
+            return;
         }
+        channel = connect.channel();
+        connect.addListener(done -> {
+            if (done.isSuccess()) {
+                write(connect.channel(), request);
+            } else {
+                request.release();
+                broken(connect.channel());
+            }
+        });
     }
 
     /** Goes on at another address; a request under way ends without an answer. */
--- /dev/null
+++ b/src/test/java/wrenkeel/net/AgentConnectionTest.java
@@ -0,0 +1,51 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class AgentConnectionTest {
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+    private final MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop thread = group.next();
+
+    @AfterEach
+    void end() throws Exception {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    }
+
+    /**
+     * Guards the watch and the notices while idle clients hold all descriptors: the request ends at once, on
+     * the relay's thread, so that it is repeated as soon as a descriptor is free.
+     */
+    @Test
+    void aRequestForWhichThereIsNoDescriptorEndsAtOnceOnTheRelaysThread() throws Exception {
+        AgentConnection connection = new AgentConnection(thread, new Bootstrap().group(group), () -> {
+            throw new ChannelException("too many open files");
+        }, new InetSocketAddress(Platform.LOOPBACK, 9), CONNECT_TIMEOUT_MS);
+        BlockingQueue<Integer> statuses = new LinkedBlockingQueue<>();
+        BlockingQueue<Boolean> onThread = new LinkedBlockingQueue<>();
+        long longTime = TimeUnit.HOURS.toMillis(1);
+        for (int i = 0; i < 2; i++) {
+            thread.submit(() -> connection.ask(HttpMethod.GET, "/v1/servers", "", longTime, null, answer -> {
+                onThread.add(thread.inEventLoop());
+                statuses.add(answer.status);
+            })).get();
+            assertEquals(0, statuses.poll(Platform.PATIENCE_S, TimeUnit.SECONDS));
+            assertTrue(onThread.take());
+        }
+    }
+}
