Let the build pass over just the failures that KNOWN-RED.txt lists, and print them

A failing test is committed before its fix; the build must stay green over it and must not stay quiet about it. A listed test that passes fails the build, so that it comes off the list with the fix. Three at most.

--- /dev/null
+++ b/src/test/java/wrenkeel/KnownRed.java
@@ -0,0 +1,61 @@
+package wrenkeel;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.extension.AfterTestExecutionCallback;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.junit.jupiter.api.extension.TestExecutionExceptionHandler;
+import org.opentest4j.TestAbortedException;
+
+/**
+ * Lets the build pass over the tests listed in {@code KNOWN-RED.txt}, and over no other: such a test may fail,
+ * which is printed and counted as skipped, but it must not pass, for then it has to come off the list.
+ *
+ * <p>Each line of the file is {@code Class.method: cause, issue}; lines that begin with # are comments.
+ */
+public final class KnownRed implements TestExecutionExceptionHandler, AfterTestExecutionCallback {
+    /** Relative to the folder that the build runs in, which is the repository's root. */
+    private static final Path LIST = Path.of("KNOWN-RED.txt");
+    /** More would hide what is broken. */
+    static final int MOST = 3;
+
+    private static final Set<String> LISTED = read(LIST);
+
+    static Set<String> read(Path list) {
+        try {
+            Set<String> names = Files.readAllLines(list).stream().map(String::strip)
+                .filter(line -> !line.isEmpty() && !line.startsWith("#"))
+                .map(line -> line.split(":", 2)[0].strip()).collect(Collectors.toSet());
+            if (names.size() > MOST) {
+                throw new IllegalStateException(list + " lists more than " + MOST + " tests: " + names);
+            }
+            return names;
+        } catch (IOException e) {
+            throw new UncheckedIOException("the list of known failures cannot be read", e);
+        }
+    }
+
+    private static String name(ExtensionContext context) {
+        return context.getRequiredTestClass().getSimpleName() + "." + context.getRequiredTestMethod().getName();
+    }
+
+    @Override
+    public void handleTestExecutionException(ExtensionContext context, Throwable failure) throws Throwable {
+        if (!LISTED.contains(name(context))) {
+            throw failure;
+        }
+        System.out.println("KNOWN RED " + name(context) + ": " + failure);
+        throw new TestAbortedException("known to fail, see " + LIST, failure);
+    }
+
+    @Override
+    public void afterTestExecution(ExtensionContext context) {
+        if (LISTED.contains(name(context)) && context.getExecutionException().isEmpty()) {
+            throw new AssertionError(name(context) + " passes: take it off " + LIST);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenkeel/KnownRedTest.java
@@ -0,0 +1,37 @@
+package wrenkeel;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The list of known failures stays short, and names tests. */
+class KnownRedTest {
+    @TempDir
+    Path folder;
+
+    private Path list(String text) throws IOException {
+        return Files.writeString(folder.resolve("list"), text);
+    }
+
+    @Test
+    void namesStandBeforeTheColon() throws IOException {
+        assertEquals(Set.of("ATest.one", "BTest.two"),
+            KnownRed.read(list("# comment: no test\n\nATest.one: a cause, issue 1\nBTest.two: another: with a colon\n")));
+    }
+
+    @Test
+    void moreThanThreeAreRefused() throws IOException {
+        Path list = list("A.a: x\nB.b: x\nC.c: x\nD.d: x\n");
+        assertThrows(IllegalStateException.class, () -> KnownRed.read(list));
+    }
+
+    @Test
+    void noListMeansAFailedBuild() {
+        assertThrows(RuntimeException.class, () -> KnownRed.read(folder.resolve("none")));
+    }
+}
