--- a/src/main/java/wrenkeel/net/HollowRelay.java
+++ b/src/main/java/wrenkeel/net/HollowRelay.java
@@ -46,13 +46,14 @@
     private void begin() throws Config.Unusable, IOException, Wire.Malformed {
         config = Config.read(env);
         Figures figures = new Figures();
+        ProcessClock clock = ProcessClock.system();
         Bootstrap calls = new Bootstrap().group(loop)
             .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
         HostList hosts = new HostList(config.zones(), config.kinds());
         HostPool pool = new HostPool(loop, calls, config.settings().allowed().connectTimeout(),
             config.settings().allowed().keepAlive(), config.descriptors().hosts(), figures);
-        journal = new Journal(config.state(), config.diskBytes());
-        driver = new Loop(loop, config, hosts, pool, journal, figures, (whenListed, whenNoticed) ->
+        journal = new Journal(config.state(), config.diskBytes(), clock);
+        driver = new Loop(loop, clock, config, hosts, pool, journal, figures, (whenListed, whenNoticed) ->
             new Discovery(loop, calls, config.discovery(), hosts, change -> {
                 whenListed.listed(change);
                 // Behind the module's turn, which stands in the loop's queue by now.
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -107,6 +107,7 @@
         }
     }
 
+    private final ProcessClock clock;
     private final Tenure tenure;
     private final Path file;
     private final Path fresh;
@@ -126,6 +127,12 @@
 
     /** Begins this process's file; nothing is owed before {@link #adopt}. */
     Journal(Path folder, long limit) throws IOException {
+        this(folder, limit, ProcessClock.system());
+    }
+
+    /** {@code clock}: that of the times in messages and attempts. */
+    Journal(Path folder, long limit, ProcessClock clock) throws IOException {
+        this.clock = clock;
         this.tenure = Tenure.begin(folder);
         this.file = tenure.file("journal");
         this.fresh = tenure.file("journal.new");
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -71,6 +71,7 @@
     private final Journal journal;
     private final Discovery discovery;
     private final Figures figures;
+    private final ProcessClock clock;
     /** All classes that the module was told of, by the number that it knows them by. */
     private final List<Relay.MessageClass> classes = new ArrayList<>();
     /** Those in force. */
@@ -84,7 +85,7 @@
     private final EventLoopLag lag = new EventLoopLag(STAND, System::nanoTime);
     private final long began = System.nanoTime();
     /** Unix time, ms. */
-    private final long beganAt = System.currentTimeMillis();
+    private final long beganAt;
     private final long knowledgeMost;
     private boolean turnDue;
     private boolean stopped;
@@ -94,9 +95,11 @@
     /** Destinations that the module has been told of and has not released. */
     private int introduced;
 
-    Loop(EventLoop loop, Config config, HostList hosts, HostPool pool, Journal journal, Figures figures,
-         Agent agent) {
+    Loop(EventLoop loop, ProcessClock clock, Config config, HostList hosts, HostPool pool, Journal journal,
+         Figures figures, Agent agent) {
         this.loop = loop;
+        this.clock = clock;
+        this.beganAt = clock.millis();
         this.settings = config.settings();
         this.knowledgeMost = config.diskBytes() / KNOWLEDGE_PART;
         this.control = new Control(config.seed(), settings);
@@ -157,9 +160,9 @@
         loop.scheduleWithFixedDelay(this::release, RELEASE, RELEASE, TimeUnit.MILLISECONDS);
     }
 
-    /** ms that what is read now may have waited in its socket. */
-    long lagMillis() {
-        return lag.millis();
+    /** Unix time, ms, since which what is read now may have waited in its socket. */
+    long readAtMillis() {
+        return clock.millis() - lag.millis();
     }
 
     private void stand() {
@@ -262,7 +265,7 @@
 
     private Relay.Accepted accepted(Held h, boolean takenUp, List<Relay.Earlier> earlier) {
         Message m = h.message;
-        long reserve = EndReserve.millis(m.deadline() - System.currentTimeMillis());
+        long reserve = EndReserve.millis(m.deadline() - clock.millis());
         return new Relay.Accepted(m.id(), number(h.rules), m.tenant(), m.routeKey(),
             moduleTime(m.deadline() - reserve), TimeUnit.MILLISECONDS.toMicros(reserve), m.destination(),
             takenUp, earlier);
@@ -357,12 +360,12 @@
 
     /** Unix time in ms to the module's clock, which may then be below 0. */
     private long moduleTime(long unix) {
-        return now() + (unix - System.currentTimeMillis()) * 1_000;
+        return now() + (unix - clock.millis()) * 1_000;
     }
 
     /** The module's clock to Unix time in ms. */
     private long unixTime(long time) {
-        return System.currentTimeMillis() + (time - now()) / 1_000;
+        return clock.millis() + (time - now()) / 1_000;
     }
 
     private void turn() {
@@ -486,7 +489,7 @@
         boolean written = false;
         try {
             if (!h.over) {
-                journal.sent(h.entry, System.currentTimeMillis(), host.zone);
+                journal.sent(h.entry, clock.millis(), host.zone);
                 written = true;
             }
         } catch (IOException e) {
@@ -545,7 +548,7 @@
     private void wait(HostList.Host host, long span) {
         if (leaving) {
             try {
-                journal.waits(host.name, System.currentTimeMillis() + span / 1_000 + 1);
+                journal.waits(host.name, clock.millis() + span / 1_000 + 1);
             } catch (IOException e) {
                 LOG.error("journal cannot be written, a wait for {} is not passed on", host.name, e);
             }
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -35,6 +35,7 @@
     private final CountDownLatch left = new CountDownLatch(1);
     private final Figures figures = new Figures();
     private final Console console;
+    private final ProcessClock clock;
     private volatile boolean ready;
     private final Journal journal;
     private volatile Config config;
@@ -47,12 +48,17 @@
 
     /** Takes up what the lasting folder holds, and serves; or stands by while an earlier process serves. */
     Node(Config config) throws IOException, InterruptedException, ExecutionException {
+        this(config, MachineClock.SYSTEM);
+    }
+
+    Node(Config config, MachineClock machine) throws IOException, InterruptedException, ExecutionException {
         this.config = config;
+        clock = new ProcessClock(machine);
         console = config.console() == null ? null : new Console(config.console(), () -> ready, figures);
         if (console != null) {
             LOG.info("operators at {}", consoleAddress());
         }
-        journal = new Journal(config.state(), config.diskBytes());
+        journal = new Journal(config.state(), config.diskBytes(), clock);
         thread.submit(() -> {
             begin();
             if (journal.earlierServes()) {
@@ -178,7 +184,7 @@
         HostList hosts = new HostList(config.zones(), config.kinds());
         HostPool pool = new HostPool(thread, calls, config.settings().allowed().connectTimeout(),
             config.settings().allowed().keepAlive(), config.descriptors().hosts(), figures);
-        loop = new Loop(thread, config, hosts, pool, journal, figures,
+        loop = new Loop(thread, clock, config, hosts, pool, journal, figures,
             (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                 whenNoticed));
         loop.start(config.known());
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -173,7 +173,7 @@
         String tenant = text(headers, "X-Tenant-Id", ID_MOST, false);
         return new Message(text(headers, "X-Request-ID", ID_MOST, true), name,
             tenant == null ? 0 : loop.tenant(tenant), text(headers, "X-Route-Key", KEY_MOST, false), key,
-            destination, deadline(System.currentTimeMillis() - loop.lagMillis(), time),
+            destination, deadline(loop.readAtMillis(), time),
             ByteBufUtil.getBytes(request.content()));
     }
 
--- a/src/test/java/wrenkeel/net/LoopTest.java
+++ b/src/test/java/wrenkeel/net/LoopTest.java
@@ -39,7 +39,7 @@
         Bootstrap calls = new Bootstrap().group(thread);
         inOnePass(() -> {
             HostList hosts = new HostList(config.zones(), config.kinds());
-            loop = new Loop(thread, config, hosts, new HostPool(thread, calls, 1_000_000, 15_000_000, 100, figures), journal, figures,
+            loop = new Loop(thread, ProcessClock.system(), config, hosts, new HostPool(thread, calls, 1_000_000, 15_000_000, 100, figures), journal, figures,
                 (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                     whenNoticed));
             loop.start(config.known());
--- a/src/test/java/wrenkeel/net/ServerConnectionTest.java
+++ b/src/test/java/wrenkeel/net/ServerConnectionTest.java
@@ -52,7 +52,7 @@
         onThread(() -> {
             HostList hosts = new HostList(config.zones(), config.kinds());
             HostPool pool = new HostPool(thread, calls, 1_000_000, 15_000_000, 100, figures);
-            loop = new Loop(thread, config, hosts, pool, journal, figures,
+            loop = new Loop(thread, ProcessClock.system(), config, hosts, pool, journal, figures,
                 (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                     whenNoticed));
             loop.start(config.known());
