Reckon every deadline and wait by the monotonic clock, also across a restart

A file of the release before has no reading and is taken up as before, no message past its class's time.

JournalTest now has a machine whose clocks stand still, so that times are compared to the millisecond as before; the one comparison of what a process leaves names the shift of its times as well.

--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -62,7 +62,7 @@
     private static final int ATTEMPT_BYTES = (HEAD + 23) + (HEAD + 11), END_BYTES = (HEAD + 18) + (HEAD + 9);
     /** Sort 1: a message by a release that did not write down its class. */
     private static final byte TAKEN_BARE = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5,
-        ORIGIN = 6, ABSORBED = 7, PASSED = 8, WAIT = 9, TAKEN = 10;
+        ORIGIN = 6, ABSORBED = 7, PASSED = 8, WAIT = 9, TAKEN = 10, CLOCK = 11;
 
     /** One send of a message. {@code sent}: Unix time, ms; {@code zone}: its host's. */
     static final class Attempt {
@@ -74,6 +74,12 @@
             this.sent = sent;
             this.zone = zone;
         }
+
+        private Attempt sentAt(long other) {
+            Attempt attempt = new Attempt(other, zone);
+            attempt.mayHaveRun = mayHaveRun;
+            return attempt;
+        }
     }
 
     /** The end that was decided for a message; its notice is owed until it is acknowledged. */
@@ -153,12 +159,22 @@
         return false;
     }
 
+    /**
+     * What a process that leaves knew.
+     *
+     * @param shiftMillis to be added to its times in Unix time, ms, to have them on this process's clock
+     */
+    record Left(String knowledge, long shiftMillis) { }
+
     /** What the process that leaves knew; null if it left nothing. */
-    String knowledge() throws IOException {
-        String latest = null;
+    Left knowledge() throws IOException {
+        Left latest = null;
         for (Legacy legacy : legacies) {
             String knowledge = legacy.earlier.knowledge();
-            latest = knowledge == null ? latest : knowledge;
+            if (knowledge != null) {
+                legacy.read();
+                latest = new Left(knowledge, legacy.times(clock).shiftMillis());
+            }
         }
         return latest;
     }
@@ -179,7 +195,8 @@
     Map<String, Long> waits() {
         Map<String, Long> waits = new HashMap<>();
         for (Legacy legacy : legacies) {
-            waits.putAll(legacy.waits);
+            RecordedTimes times = legacy.times(clock);
+            legacy.waits.forEach((host, until) -> waits.put(host, times.waitUntil(until)));
             legacy.waits.clear();
         }
         return waits;
@@ -215,7 +232,7 @@
                 if (legacy.ended || legacy.passed.contains(entry.number)) {
                     Origin origin = new Origin(legacy.number(), entry.number);
                     if (!absorbed.contains(legacy.number()) && !adopted.contains(origin)) {
-                        whenOwed.accept(adopt(entry, origin));
+                        whenOwed.accept(adopt(entry, origin, legacy.times(clock)));
                         adopted.add(origin);
                     }
                     legacy.entries.remove(entry.number);
@@ -242,9 +259,10 @@
     }
 
     /** In one write: a message that is taken over without its attempts could run twice. */
-    private Entry adopt(Entry from, Origin origin) throws IOException {
-        Entry entry = new Entry(++last, from.message, from.rules);
-        entry.attempts.addAll(from.attempts);
+    private Entry adopt(Entry from, Origin origin, RecordedTimes times) throws IOException {
+        long deadline = times.deadline(from.message.deadline(), from.rules);
+        Entry entry = new Entry(++last, from.message.withDeadline(deadline), from.rules);
+        from.attempts.forEach(attempt -> entry.attempts.add(attempt.sentAt(times.sent(attempt.sent))));
         entry.end = from.end;
         ByteArrayOutputStream records = new ByteArrayOutputStream();
         records.writeBytes(origin(origin));
@@ -421,6 +439,7 @@
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE);
         try {
+            write(next, clock(clock.read()));
             for (Origin origin : adopted) {
                 write(next, origin(origin));
             }
@@ -453,6 +472,11 @@
         /** Numbers of processes in whose files nothing is open any more. */
         final Set<Long> absorbed = new HashSet<>();
         final Map<String, Long> waits = new HashMap<>();
+        /** Null in a file of a release that did not write its clocks down. */
+        private ProcessClock.Reading clock;
+        /** Unix time, ms, by its own clock: the latest of which the file tells. */
+        private long latest;
+        private RecordedTimes times;
         boolean ended;
         long size;
         private long checkedInVain;
@@ -465,6 +489,23 @@
             return earlier.number();
         }
 
+        /**
+         * How its times compare with this process's clock, by what has been read so far; settled once its
+         * clocks are known, for they are the first record of a file.
+         */
+        RecordedTimes times(ProcessClock now) {
+            if (times != null) {
+                return times;
+            }
+            RecordedTimes known = RecordedTimes.of(now, clock, latest);
+            times = clock == null ? null : known;
+            return known;
+        }
+
+        private void happened(long millis) {
+            latest = Math.max(latest, millis);
+        }
+
         /**
          * Reads on. What does not check is still being written, or, once the process has ended, is passed
          * over. An unfinished record at the end was never acted on; any other gap may have held anything.
@@ -553,6 +594,10 @@
             long number = in.readLong();
             Entry entry = entries.get(number);
             switch (sort) {
+                case CLOCK -> {
+                    clock = new ProcessClock.Reading(in.readUTF(), in.readLong(), in.readLong());
+                    happened(clock.millis());
+                }
                 case TAKEN_BARE -> entries.put(number, new Entry(number, message(in), null));
                 case TAKEN -> {
                     Relay.MessageClass rules = rules(in);
@@ -569,6 +614,7 @@
                 default -> {
                     if (entry != null) {
                         follow(entry, sort, in);
+                        entry.attempts.forEach(attempt -> happened(attempt.sent));
                     }
                 }
             }
@@ -605,6 +651,14 @@
             .array();
     }
 
+    private static byte[] clock(ProcessClock.Reading clock) throws IOException {
+        return record(CLOCK, 0, o -> {
+            o.writeUTF(clock.bootId());
+            o.writeLong(clock.millis());
+            o.writeLong(clock.nanos());
+        });
+    }
+
     private static byte[] origin(Origin origin) throws IOException {
         return record(ORIGIN, origin.number, o -> o.writeLong(origin.file));
     }
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -239,8 +239,9 @@
     }
 
     /** Takes in what the process before this one has left. */
-    void learn(String knowledge) {
-        Knowledge.read(knowledge, hosts, this::named, this::moduleTime).forEach(this::tell);
+    void learn(Journal.Left left) {
+        Knowledge.read(left.knowledge(), hosts, this::named, unix -> moduleTime(unix + left.shiftMillis()))
+            .forEach(this::tell);
     }
 
     /** The deadline passes into the module's clock; earlier attempts keep their distance from now. */
--- a/src/main/java/wrenkeel/net/Message.java
+++ b/src/main/java/wrenkeel/net/Message.java
@@ -1,8 +1,12 @@
 package wrenkeel.net;
 
 /**
- * One message as its client handed it in. {@code deadline}: Unix time, ms; keys are null where there are
- * none.
+ * One message as its client handed it in. {@code deadline}: Unix time in ms, as the process that holds it
+ * reckons it ({@link ProcessClock}); keys are null where there are none.
  */
 record Message(String id, String messageClass, int tenant, String routeKey, String idempotencyKey,
-                      long destination, long deadline, byte[] body) { }
+                      long destination, long deadline, byte[] body) {
+    Message withDeadline(long other) {
+        return new Message(id, messageClass, tenant, routeKey, idempotencyKey, destination, other, body);
+    }
+}
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -94,9 +94,9 @@
 
     /** Takes over what is left by earlier processes, and opens the door to clients. */
     private void serve() throws IOException {
-        String knowledge = journal.knowledge();
-        if (knowledge != null) {
-            loop.learn(knowledge);
+        Journal.Left left = journal.knowledge();
+        if (left != null) {
+            loop.learn(left);
         }
         loop.adopt();
         if (door != null) {
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -18,11 +18,29 @@
     @TempDir
     Path folder;
 
+    /** So that times that pass from process to process can be compared to the millisecond. */
+    private static final MachineClock STILL = new MachineClock() {
+        @Override
+        public long monotonicNanos() {
+            return 5_000_000_000L;
+        }
+
+        @Override
+        public long wallMillis() {
+            return 1_800_000_000_000L;
+        }
+
+        @Override
+        public String bootId() {
+            return "boot";
+        }
+    };
+
     private static final Relay.MessageClass RULES = new Relay.MessageClass("bill-post", 2_000_000, 16_000_000, 1.5,
         0.25, Relay.Effect.KEYED, true, 3_000_000, true, 12);
 
     private Journal open() throws IOException {
-        Journal journal = new Journal(folder, LIMIT);
+        Journal journal = new Journal(folder, LIMIT, new ProcessClock(STILL));
         journal.adopt(entry -> { });
         return journal;
     }
@@ -268,7 +286,7 @@
     @Test
     void onlyWhatIsPassedOnIsTakenOverFromAProcessThatLives() throws IOException {
         Journal old = open();
-        try (Journal next = new Journal(folder, LIMIT)) {
+        try (Journal next = new Journal(folder, LIMIT, new ProcessClock(STILL))) {
             Journal.Entry out = old.take(message("out", 10), RULES);
             Journal.Entry waits = old.take(message("waits", 10), RULES);
             assertTrue(next.earlierServes());
@@ -278,7 +296,7 @@
             old.leave("{}");
             assertFalse(old.laterServes());
             assertFalse(next.earlierServes());
-            assertEquals("{}", next.knowledge());
+            assertEquals(new Journal.Left("{}", 0), next.knowledge());
             next.adopt(entry -> { });
             next.takenOver();
             assertTrue(old.laterServes());
@@ -304,7 +322,7 @@
         Journal old = open();
         Journal.Entry first = old.take(message("first", 10), RULES);
         old.take(message("second", 10), RULES);
-        Journal next = new Journal(folder, LIMIT);
+        Journal next = new Journal(folder, LIMIT, new ProcessClock(STILL));
         old.beginPassing();
         old.passed(first);
         old.leave("{}");
@@ -328,7 +346,7 @@
     @Test
     void aLaterProcessThatHasEndedDoesNotWait() throws IOException {
         try (Journal old = open()) {
-            new Journal(folder, LIMIT).close();
+            new Journal(folder, LIMIT, new ProcessClock(STILL)).close();
             assertFalse(old.laterWaits());
         }
     }
--- /dev/null
+++ b/src/test/java/wrenkeel/net/RecordedTimesTest.java
@@ -0,0 +1,66 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import org.junit.jupiter.api.Test;
+import wrenkeel.Relay;
+
+/** What the times in an earlier process's file mean to this one, whatever the wall clock does meanwhile. */
+class RecordedTimesTest {
+    private static final long SECOND = 1_000, HOUR = 3_600 * SECOND, NOW = 1_800_000_000_000L;
+    private static final Relay.MessageClass RULES = new Relay.MessageClass("bill", 2_000_000, 16_000_000, 1, 0,
+        Relay.Effect.KEYED, false, 3_000_000, false, 12);
+
+    /** A machine whose clocks stand still. */
+    private record Still(long wallMillis, long monotonicNanos, String bootId) implements MachineClock { }
+
+    private static ProcessClock clock(long wallMillis, long upSeconds, String boot) {
+        return new ProcessClock(new Still(wallMillis, upSeconds * 1_000_000_000, boot));
+    }
+
+    /** The earlier process wrote at NOW, 100 s after its boot. */
+    private static final ProcessClock.Reading WRITTEN = clock(NOW, 100, "one").read();
+
+    @Test
+    void withinOneBootTheMonotonicClockTellsWhatHasPassed() {
+        for (long step : new long[] {-HOUR, 0, HOUR}) {
+            ProcessClock now = clock(NOW + 3 * SECOND + step, 103, "one");
+            RecordedTimes times = RecordedTimes.of(now, WRITTEN, NOW);
+            assertEquals(now.millis() + 5 * SECOND, times.deadline(NOW + 8 * SECOND, RULES));
+            assertEquals(now.millis() - 4 * SECOND, times.sent(NOW - SECOND));
+            assertEquals(now.millis() + 2 * SECOND, times.waitUntil(NOW + 5 * SECOND));
+        }
+    }
+
+    @Test
+    void afterAnotherBootTheWallClockCounts() {
+        RecordedTimes times = RecordedTimes.of(clock(NOW + 3 * SECOND, 2, "two"), WRITTEN, NOW);
+        assertEquals(NOW + 8 * SECOND, times.deadline(NOW + 8 * SECOND, RULES));
+        assertEquals(NOW - SECOND, times.sent(NOW - SECOND));
+    }
+
+    /** A monotonic clock that has run back is another boot's, whatever the name of the boot. */
+    @Test
+    void aMonotonicClockThatRanBackIsNotBelieved() {
+        RecordedTimes times = RecordedTimes.of(clock(NOW + 3 * SECOND, 2, "one"), WRITTEN, NOW);
+        assertEquals(NOW + 8 * SECOND, times.deadline(NOW + 8 * SECOND, RULES));
+    }
+
+    /** Guards against a message that is owed for an hour, and against a repeat past its window. */
+    @Test
+    void aWallClockThatRanBackProlongsNothingAndAllowsNoRepeat() {
+        ProcessClock now = clock(NOW - HOUR, 2, "two");
+        RecordedTimes times = RecordedTimes.of(now, WRITTEN, NOW);
+        assertEquals(now.millis() + 8 * SECOND, times.deadline(NOW + 8 * SECOND, RULES));
+        assertTrue(times.sent(NOW - SECOND) < now.millis() - HOUR);
+    }
+
+    /** A file of the release before tells nothing of clocks: its messages live no longer than their class. */
+    @Test
+    void withoutAReadingNoMessageOutlivesItsClass() {
+        ProcessClock now = clock(NOW - HOUR, 2, "two");
+        assertEquals(now.millis() + 16 * SECOND, RecordedTimes.of(now, null, 0).deadline(NOW, RULES));
+        RecordedTimes ahead = RecordedTimes.of(clock(NOW, 2, "two"), null, NOW - SECOND);
+        assertEquals(NOW + SECOND, ahead.deadline(NOW + SECOND, RULES));
+    }
+}
