Test that a failed accept delays no newcomer and ends no draining (red)

Seen red: 0.9 s after one failure the listening channel still does not accept; of three that wait as the door closes the second and third are never let in.

--- a/src/main/java/wrenkeel/net/Door.java
+++ b/src/main/java/wrenkeel/net/Door.java
@@ -28,14 +28,21 @@
     /** ms from leaving the selector until it has let go: a channel that it holds is closed late. */
     private static final long LET_GO = 20;
 
+    /** Takes the next connection from the queue of the listening socket; null if none waits there. */
+    interface Acceptor {
+        SocketChannel accept(ServerSocketChannel from) throws IOException;
+    }
+
     private final NetworkChannel socket;
     private final EventLoop thread;
     private final NioServerSocketChannel listener;
+    private final Acceptor acceptor;
 
-    private Door(NetworkChannel socket, EventLoop thread, NioServerSocketChannel listener) {
+    private Door(NetworkChannel socket, EventLoop thread, NioServerSocketChannel listener, Acceptor acceptor) {
         this.socket = socket;
         this.thread = thread;
         this.listener = listener;
+        this.acceptor = acceptor;
     }
 
     /** Makes sure of the address without listening there: no client is led to this process yet. */
@@ -47,11 +54,17 @@
             socket.close();
             throw e;
         }
-        return new Door(socket, null, null);
+        return new Door(socket, null, null, null);
     }
 
     /** Listens; each connection gets this handler. To be called on the event loop. */
     static Door open(InetSocketAddress address, EventLoop thread, ChannelHandler clients) throws IOException {
+        return open(address, thread, clients, ServerSocketChannel::accept);
+    }
+
+    /** {@code acceptor}: what {@link #drain} accepts with. */
+    static Door open(InetSocketAddress address, EventLoop thread, ChannelHandler clients, Acceptor acceptor)
+        throws IOException {
         ServerSocketChannel socket = ServerSocketChannel.open();
         try {
             shared(socket);
@@ -64,7 +77,7 @@
         new ServerBootstrap().group(thread, thread).channelFactory(() -> listener)
             .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .childOption(ChannelOption.TCP_NODELAY, true).childHandler(clients).register();
-        return new Door(socket, thread, listener);
+        return new Door(socket, thread, listener, acceptor);
     }
 
     private static NetworkChannel shared(NetworkChannel socket) throws IOException {
@@ -80,12 +93,18 @@
         }
     }
 
+    /** The channel that connections are accepted on; null where the address is only reserved. */
+    NioServerSocketChannel listener() {
+        return listener;
+    }
+
     /** Lets in all who wait at the door, then closes it with nothing in between. */
     void drain() {
         listener.deregister().addListener(done -> thread.schedule(() -> {
             try {
                 ServerSocketChannel last = (ServerSocketChannel) socket;
-                for (SocketChannel client = last.accept(); client != null; client = last.accept()) {
+                for (SocketChannel client = acceptor.accept(last); client != null;
+                     client = acceptor.accept(last)) {
                     listener.pipeline().fireChannelRead(new NioSocketChannel(listener, client));
                 }
                 last.close();
--- /dev/null
+++ b/src/test/java/wrenkeel/net/DoorTest.java
@@ -0,0 +1,92 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Accepting connections while the system call fails for a moment. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class DoorTest {
+    /** Netty's acceptor does not accept for so long after any failure, ms. */
+    private static final long NETTY_PAUSE = 1_000;
+    private static final InetSocketAddress ANY = new InetSocketAddress(Platform.LOOPBACK, 0);
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop thread = group.next();
+    private final BlockingQueue<Channel> accepted = new LinkedBlockingQueue<>();
+    private final ChannelInitializer<Channel> clients = new ChannelInitializer<>() {
+        @Override
+        protected void initChannel(Channel channel) {
+            accepted.add(channel);
+        }
+    };
+
+    @AfterEach
+    void end() throws InterruptedException {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    }
+
+    private static IOException noBuffers() {
+        return new IOException("No buffer space available");
+    }
+
+    /** Fails accepting as the listening channel does; the look comes before Netty's acceptor would go on. */
+    @Test
+    void afterAFailedAcceptTheNextIsTriedSoon() throws Exception {
+        Door door = thread.submit(() -> Door.open(ANY, thread, clients)).get();
+        CompletableFuture<Boolean> accepts = new CompletableFuture<>();
+        thread.submit(() -> {
+            thread.schedule(() -> accepts.complete(door.listener().config().isAutoRead()), NETTY_PAUSE - 100,
+                TimeUnit.MILLISECONDS);
+            door.listener().pipeline().fireExceptionCaught(noBuffers());
+        }).get();
+        assertTrue(accepts.get(), "it still does not accept");
+        thread.submit(door::close).get();
+    }
+
+    /** Guards those who wait as the door closes: each is let in, whatever the system call says in between. */
+    @Test
+    void drainingGoesOnAfterAFailedAccept() throws Exception {
+        List<String> tries = new ArrayList<>();
+        Door.Acceptor failsOnce = (ServerSocketChannel from) -> {
+            SocketChannel next = tries.size() == 1 ? null : from.accept();
+            tries.add("try");
+            if (tries.size() == 2) {
+                throw noBuffers();
+            }
+            return next;
+        };
+        Door door = thread.submit(() -> Door.open(ANY, thread, clients, failsOnce)).get();
+        // Nobody is accepted by the selector from here on: all wait in the queue.
+        thread.submit(() -> door.listener().config().setAutoRead(false)).get();
+        List<Socket> waiting = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            waiting.add(new Socket(Platform.LOOPBACK, door.address().getPort()));
+        }
+        thread.submit(door::drain).get();
+        for (int i = 0; i < waiting.size(); i++) {
+            assertNotNull(accepted.poll(Platform.PATIENCE_S, TimeUnit.SECONDS), "let in: " + i);
+        }
+        for (Socket socket : waiting) {
+            socket.close();
+        }
+    }
+}
