Accept again 10 ms after a failed accept, and count the wait into a message's age

Cause: Netty's ServerBootstrapAcceptor turns reading off for a second after any exception; Door.drain left its loop at the first IOException and closed the socket on those who still waited.

Change: AcceptRetry stands before Netty's acceptor, keeps the failure from it, tries again after 10 ms and tells the relay how long newcomers may have waited, which EventLoopLag takes off their messages' time. Draining goes on after a failure, for half a second at most. The same mistake elsewhere: the console's listener, mended alike.

--- a/src/main/java/wrenkeel/net/Console.java
+++ b/src/main/java/wrenkeel/net/Console.java
@@ -51,6 +51,7 @@
         Callers callers = new Callers(CALLERS);
         ServerBootstrap bootstrap = new ServerBootstrap().group(group)
             .channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
+            .handler(new AcceptRetry(waited -> { }))
             .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
--- a/src/main/java/wrenkeel/net/Door.java
+++ b/src/main/java/wrenkeel/net/Door.java
@@ -14,6 +14,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,6 +28,8 @@
     private static final int BACKLOG = 512;
     /** ms from leaving the selector until it has let go: a channel that it holds is closed late. */
     private static final long LET_GO = 20;
+    /** Tries to accept those who wait as the door closes, a failed one after the other: half a second. */
+    private static final int DRAIN_TRIES = 50;
 
     /** Takes the next connection from the queue of the listening socket; null if none waits there. */
     interface Acceptor {
@@ -58,13 +61,17 @@
     }
 
     /** Listens; each connection gets this handler. To be called on the event loop. */
-    static Door open(InetSocketAddress address, EventLoop thread, ChannelHandler clients) throws IOException {
-        return open(address, thread, clients, ServerSocketChannel::accept);
+    static Door open(InetSocketAddress address, EventLoop thread, ChannelHandler clients,
+                     LongConsumer whenResumed) throws IOException {
+        return open(address, thread, clients, whenResumed, ServerSocketChannel::accept);
     }
 
-    /** {@code acceptor}: what {@link #drain} accepts with. */
-    static Door open(InetSocketAddress address, EventLoop thread, ChannelHandler clients, Acceptor acceptor)
-        throws IOException {
+    /**
+     * {@code whenResumed}: told, after accepting has failed for a while, how long (ns) newcomers may have
+     * waited for it; {@code acceptor}: what {@link #drain} accepts with.
+     */
+    static Door open(InetSocketAddress address, EventLoop thread, ChannelHandler clients,
+                     LongConsumer whenResumed, Acceptor acceptor) throws IOException {
         ServerSocketChannel socket = ServerSocketChannel.open();
         try {
             shared(socket);
@@ -75,6 +82,7 @@
         }
         NioServerSocketChannel listener = new NioServerSocketChannel(socket);
         new ServerBootstrap().group(thread, thread).channelFactory(() -> listener)
+            .handler(new AcceptRetry(whenResumed))
             .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .childOption(ChannelOption.TCP_NODELAY, true).childHandler(clients).register();
         return new Door(socket, thread, listener, acceptor);
@@ -100,19 +108,35 @@
 
     /** Lets in all who wait at the door, then closes it with nothing in between. */
     void drain() {
-        listener.deregister().addListener(done -> thread.schedule(() -> {
-            try {
-                ServerSocketChannel last = (ServerSocketChannel) socket;
-                for (SocketChannel client = acceptor.accept(last); client != null;
-                     client = acceptor.accept(last)) {
-                    listener.pipeline().fireChannelRead(new NioSocketChannel(listener, client));
-                }
-                last.close();
-            } catch (IOException e) {
-                LOG.error("the door is not closed in order", e);
+        listener.deregister().addListener(done ->
+            thread.schedule(() -> acceptRest(DRAIN_TRIES), LET_GO, TimeUnit.MILLISECONDS));
+    }
+
+    private void acceptRest(int triesLeft) {
+        ServerSocketChannel last = (ServerSocketChannel) socket;
+        try {
+            for (SocketChannel client = acceptor.accept(last); client != null; client = acceptor.accept(last)) {
+                listener.pipeline().fireChannelRead(new NioSocketChannel(listener, client));
             }
-            close();
-        }, LET_GO, TimeUnit.MILLISECONDS));
+        } catch (IOException e) {
+            LOG.warn("a connection could not be accepted as the door closes: {}", e.toString());
+            if (triesLeft > 1) {
+                thread.schedule(() -> acceptRest(triesLeft - 1), AcceptRetry.RETRY_GAP_MS,
+                    TimeUnit.MILLISECONDS);
+                return;
+            }
+            LOG.error("the door closes on those who still wait there");
+        }
+        closeSocket();
+        close();
+    }
+
+    private void closeSocket() {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            LOG.error("the door is not closed in order", e);
+        }
     }
 
     @Override
--- a/src/main/java/wrenkeel/net/EventLoopLag.java
+++ b/src/main/java/wrenkeel/net/EventLoopLag.java
@@ -27,12 +27,20 @@
     /** To be called by the event loop once in each period. */
     void tick() {
         long now = nanoClock.getAsLong();
-        long late = overdue(now);
+        remember(overdue(now), now);
+        lastTick = now;
+    }
+
+    /** What is read now may have waited for so many nanoseconds for another reason than a late event loop. */
+    void waited(long nanos) {
+        remember(nanos, nanoClock.getAsLong());
+    }
+
+    private void remember(long late, long now) {
         if (late >= worst || now - worstAt > REMEMBERED_NANOS) {
             worst = late;
             worstAt = now;
         }
-        lastTick = now;
     }
 
     /** The worst lag of the last second in milliseconds, that of a pause not yet over included. */
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -160,6 +160,11 @@
         loop.scheduleWithFixedDelay(this::release, RELEASE, RELEASE, TimeUnit.MILLISECONDS);
     }
 
+    /** Connections that are accepted now may have waited for so many nanoseconds. */
+    void acceptedLate(long nanos) {
+        lag.waited(nanos);
+    }
+
     /** Unix time, ms, since which what is read now may have waited in its socket. */
     long readAtMillis() {
         return clock.millis() - lag.millis();
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -102,7 +102,7 @@
         if (door != null) {
             door.close();
         }
-        door = Door.open(config.listen(), thread, server);
+        door = Door.open(config.listen(), thread, server, loop::acceptedLate);
         journal.takenOver();
         serving = true;
         ready = true;
--- a/src/test/java/wrenkeel/net/DoorTest.java
+++ b/src/test/java/wrenkeel/net/DoorTest.java
@@ -32,6 +32,7 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop thread = group.next();
     private final BlockingQueue<Channel> accepted = new LinkedBlockingQueue<>();
+    private final List<Long> waited = new ArrayList<>();
     private final ChannelInitializer<Channel> clients = new ChannelInitializer<>() {
         @Override
         protected void initChannel(Channel channel) {
@@ -51,7 +52,7 @@
     /** Fails accepting as the listening channel does; the look comes before Netty's acceptor would go on. */
     @Test
     void afterAFailedAcceptTheNextIsTriedSoon() throws Exception {
-        Door door = thread.submit(() -> Door.open(ANY, thread, clients)).get();
+        Door door = thread.submit(() -> Door.open(ANY, thread, clients, waited::add)).get();
         CompletableFuture<Boolean> accepts = new CompletableFuture<>();
         thread.submit(() -> {
             thread.schedule(() -> accepts.complete(door.listener().config().isAutoRead()), NETTY_PAUSE - 100,
@@ -62,6 +63,21 @@
         thread.submit(door::close).get();
     }
 
+    /** Guards a message's time: its client has counted from when it connected. */
+    @Test
+    void whoCouldNotBeAcceptedIsToldToHaveWaited() throws Exception {
+        Door door = thread.submit(() -> Door.open(ANY, thread, clients, waited::add)).get();
+        thread.submit(() -> door.listener().pipeline().fireExceptionCaught(noBuffers())).get();
+        try (Socket first = new Socket(Platform.LOOPBACK, door.address().getPort());
+                Socket second = new Socket(Platform.LOOPBACK, door.address().getPort())) {
+            assertNotNull(accepted.poll(Platform.PATIENCE_S, TimeUnit.SECONDS), first.toString());
+            assertNotNull(accepted.poll(Platform.PATIENCE_S, TimeUnit.SECONDS), second.toString());
+        }
+        thread.submit(door::close).get();
+        assertEquals(1, waited.size(), "once for each run of failures");
+        assertTrue(waited.get(0) >= TimeUnit.MILLISECONDS.toNanos(AcceptRetry.RETRY_GAP_MS), waited.toString());
+    }
+
     /** Guards those who wait as the door closes: each is let in, whatever the system call says in between. */
     @Test
     void drainingGoesOnAfterAFailedAccept() throws Exception {
@@ -74,7 +90,7 @@
             }
             return next;
         };
-        Door door = thread.submit(() -> Door.open(ANY, thread, clients, failsOnce)).get();
+        Door door = thread.submit(() -> Door.open(ANY, thread, clients, waited::add, failsOnce)).get();
         // Nobody is accepted by the selector from here on: all wait in the queue.
         thread.submit(() -> door.listener().config().setAutoRead(false)).get();
         List<Socket> waiting = new ArrayList<>();
--- a/src/test/java/wrenkeel/net/EventLoopLagTest.java
+++ b/src/test/java/wrenkeel/net/EventLoopLagTest.java
@@ -44,6 +44,15 @@
         assertEquals(0, lag.millis());
     }
 
+    @Test
+    void aWaitForAnotherReasonCountsAsAPauseDoes() {
+        lag.waited(TimeUnit.MILLISECONDS.toNanos(250));
+        assertEquals(250, lag.millis());
+        pass(PERIOD);
+        lag.tick();
+        assertEquals(250, lag.millis());
+    }
+
     @Test
     void theWorstPauseCounts() {
         pass(PERIOD + 340);
