Test that a start waits for a folder that cannot be written (red)

With the seam that lets a test fail the file operations of the lasting folder; no change of behaviour.

--- a/src/main/java/wrenkeel/net/Door.java
+++ b/src/main/java/wrenkeel/net/Door.java
@@ -41,7 +41,8 @@
     private final NioServerSocketChannel listener;
     private final Acceptor acceptor;
 
-    private Door(NetworkChannel socket, EventLoop thread, NioServerSocketChannel listener, Acceptor acceptor) {
+    private Door(NetworkChannel socket, EventLoop thread, NioServerSocketChannel listener,
+                 Acceptor acceptor) {
         this.socket = socket;
         this.thread = thread;
         this.listener = listener;
@@ -115,8 +116,10 @@
     private void acceptRest(int triesLeft) {
         ServerSocketChannel last = (ServerSocketChannel) socket;
         try {
-            for (SocketChannel client = acceptor.accept(last); client != null; client = acceptor.accept(last)) {
+            SocketChannel client = acceptor.accept(last);
+            while (client != null) {
                 listener.pipeline().fireChannelRead(new NioSocketChannel(listener, client));
+                client = acceptor.accept(last);
             }
         } catch (IOException e) {
             LOG.warn("a connection could not be accepted as the door closes: {}", e.toString());
--- a/src/main/java/wrenkeel/net/HollowRelay.java
+++ b/src/main/java/wrenkeel/net/HollowRelay.java
@@ -52,7 +52,7 @@
         HostList hosts = new HostList(config.zones(), config.kinds());
         HostPool pool = new HostPool(loop, calls, config.settings().allowed().connectTimeout(),
             config.settings().allowed().keepAlive(), config.descriptors().hosts(), figures);
-        journal = new Journal(config.state(), config.diskBytes(), clock);
+        journal = new Journal(config.state(), config.diskBytes(), clock, FileOperations.SYSTEM);
         driver = new Loop(loop, clock, config, hosts, pool, journal, figures, (whenListed, whenNoticed) ->
             new Discovery(loop, calls, config.discovery(), hosts, change -> {
                 whenListed.listed(change);
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -7,9 +7,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -114,6 +112,7 @@
     }
 
     private final ProcessClock clock;
+    private final FileOperations files;
     private final Tenure tenure;
     private final Path file;
     private final Path fresh;
@@ -133,13 +132,14 @@
 
     /** Begins this process's file; nothing is owed before {@link #adopt}. */
     Journal(Path folder, long limit) throws IOException {
-        this(folder, limit, ProcessClock.system());
+        this(folder, limit, ProcessClock.system(), FileOperations.SYSTEM);
     }
 
     /** {@code clock}: that of the times in messages and attempts. */
-    Journal(Path folder, long limit, ProcessClock clock) throws IOException {
+    Journal(Path folder, long limit, ProcessClock clock, FileOperations files) throws IOException {
         this.clock = clock;
-        this.tenure = Tenure.begin(folder);
+        this.files = files;
+        this.tenure = Tenure.begin(folder, files);
         this.file = tenure.file("journal");
         this.fresh = tenure.file("journal.new");
         this.room = limit - CLEAR;
@@ -435,7 +435,7 @@
 
     /** Writes what is owed to a new file and puts it in the old one's place. */
     private void rewrite() throws IOException {
-        FileChannel next = FileChannel.open(fresh, StandardOpenOption.CREATE,
+        FileChannel next = files.open(fresh, StandardOpenOption.CREATE,
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE);
         try {
@@ -446,10 +446,10 @@
             for (Entry entry : entries.values()) {
                 write(entry, record -> write(next, record));
             }
-            Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            files.replace(fresh, file);
         } catch (IOException e) {
             next.close();
-            Files.deleteIfExists(fresh);
+            files.delete(fresh);
             throw e;
         }
         if (out != null) {
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -48,17 +48,17 @@
 
     /** Takes up what the lasting folder holds, and serves; or stands by while an earlier process serves. */
     Node(Config config) throws IOException, InterruptedException, ExecutionException {
-        this(config, MachineClock.SYSTEM);
+        this(config, Machine.SYSTEM);
     }
 
-    Node(Config config, MachineClock machine) throws IOException, InterruptedException, ExecutionException {
+    Node(Config config, Machine machine) throws IOException, InterruptedException, ExecutionException {
         this.config = config;
-        clock = new ProcessClock(machine);
+        clock = new ProcessClock(machine.clock());
         console = config.console() == null ? null : new Console(config.console(), () -> ready, figures);
         if (console != null) {
             LOG.info("operators at {}", consoleAddress());
         }
-        journal = new Journal(config.state(), config.diskBytes(), clock);
+        journal = new Journal(config.state(), config.diskBytes(), clock, machine.files());
         thread.submit(() -> {
             begin();
             if (journal.earlierServes()) {
--- a/src/main/java/wrenkeel/net/ProcessClock.java
+++ b/src/main/java/wrenkeel/net/ProcessClock.java
@@ -51,7 +51,8 @@
 
     /** True if the time since this reading of another process can be told by the monotonic clock. */
     boolean compares(Reading earlier) {
-        return !bootId.isEmpty() && earlier.bootId.equals(bootId) && earlier.nanos <= machine.monotonicNanos();
+        boolean sameBoot = !bootId.isEmpty() && earlier.bootId.equals(bootId);
+        return sameBoot && earlier.nanos <= machine.monotonicNanos();
     }
 
     /** What a time that the process of a {@link #compares comparable} reading wrote down is on this clock. */
--- a/src/main/java/wrenkeel/net/RecordedTimes.java
+++ b/src/main/java/wrenkeel/net/RecordedTimes.java
@@ -26,8 +26,8 @@
     }
 
     /**
-     * {@code reading}: of the process that wrote the file, null where it left none; {@code latest}: the latest
-     * time of which the file tells.
+     * {@code reading}: of the process that wrote the file, null where it left none; {@code latest}: the
+     * latest time of which the file tells.
      */
     static RecordedTimes of(ProcessClock clock, ProcessClock.Reading reading, long latest) {
         if (reading != null && clock.compares(reading)) {
@@ -51,7 +51,7 @@
         return Math.min(shifted, clock.millis() + TimeUnit.MICROSECONDS.toMillis(rules.life()));
     }
 
-    /** When an attempt was made; long ago where the wall clock has run back, so that no repeat rests on it. */
+    /** When an attempt was made; long ago where the wall clock has run back: no repeat rests on it. */
     long sent(long recorded) {
         return ageKnown ? recorded + shiftMillis : clock.millis() - LONG_AGO_MS;
     }
--- a/src/main/java/wrenkeel/net/Tenure.java
+++ b/src/main/java/wrenkeel/net/Tenure.java
@@ -9,7 +9,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -29,18 +28,20 @@
     private static final long NUMBER_MOST = 999_999_999_999_999_999L;
 
     private final Path folder;
+    private final FileOperations files;
     private final long number;
     private final FileChannel lock;
     private final List<Earlier> earlier = new ArrayList<>();
 
-    private Tenure(Path folder, long number, FileChannel lock) {
+    private Tenure(Path folder, FileOperations files, long number, FileChannel lock) {
         this.folder = folder;
+        this.files = files;
         this.number = number;
         this.lock = lock;
     }
 
     /** Takes the next number. */
-    static Tenure begin(Path folder) throws IOException {
+    static Tenure begin(Path folder, FileOperations files) throws IOException {
         while (true) {
             List<Long> before = numbers(folder, LOCK);
             before.addAll(numbers(folder, JOURNAL));
@@ -51,13 +52,13 @@
             }
             long next = latest + 1;
             try {
-                FileChannel lock = FileChannel.open(folder.resolve(LOCK + "." + next),
+                FileChannel lock = files.open(folder.resolve(LOCK + "." + next),
                     StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
                 lock.lock();
-                Tenure tenure = new Tenure(folder, next, lock);
-                before.stream().distinct().sorted().map(n -> new Earlier(folder, n))
+                Tenure tenure = new Tenure(folder, files, next, lock);
+                before.stream().distinct().sorted().map(n -> new Earlier(folder, files, n))
                     .filter(Earlier::hasFiles).forEach(tenure.earlier::add);
-                Earlier unnumbered = new Earlier(folder, 0);
+                Earlier unnumbered = new Earlier(folder, files, 0);
                 if (Files.exists(folder.resolve(JOURNAL)) && unnumbered.hasFiles()) {
                     // Written by a release that had one file and no number.
                     tenure.earlier.add(0, unnumbered);
@@ -89,7 +90,7 @@
     boolean laterWaits() throws IOException {
         for (long other : numbers(folder, LOCK)) {
             if (other > number) {
-                try (Earlier later = new Earlier(folder, other)) {
+                try (Earlier later = new Earlier(folder, files, other)) {
                     if (!later.over()) {
                         return true;
                     }
@@ -101,8 +102,15 @@
 
     /** Leaves what this process knows to the one that stands by. */
     void leave(String knowledge) throws IOException {
-        Path draft = Files.writeString(file(KNOWLEDGE + ".new"), knowledge);
-        Files.move(draft, file(KNOWLEDGE), StandardCopyOption.ATOMIC_MOVE);
+        Path draft = file(KNOWLEDGE + ".new");
+        try (FileChannel out = files.open(draft, StandardOpenOption.CREATE,
+                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            ByteBuffer text = StandardCharsets.UTF_8.encode(knowledge);
+            while (text.hasRemaining()) {
+                out.write(text);
+            }
+        }
+        files.replace(draft, file(KNOWLEDGE));
     }
 
     /** True once the later process has taken over. */
@@ -118,12 +126,14 @@
     /** Another process of the folder, and its files. */
     static final class Earlier implements AutoCloseable {
         private final Path folder;
+        private final FileOperations files;
         private final long number;
         private FileChannel lock;
         private boolean over;
 
-        Earlier(Path folder, long number) {
+        Earlier(Path folder, FileOperations files, long number) {
             this.folder = folder;
+            this.files = files;
             this.number = number;
         }
 
@@ -147,7 +157,7 @@
             }
             try {
                 if (lock == null) {
-                    lock = FileChannel.open(file(LOCK), StandardOpenOption.WRITE);
+                    lock = files.open(file(LOCK), StandardOpenOption.WRITE);
                 }
                 over = lock.tryLock() != null;
                 return over;
@@ -161,7 +171,7 @@
 
         /** Its journal from this byte on. */
         byte[] journalFrom(long position) throws IOException {
-            try (FileChannel in = FileChannel.open(file(JOURNAL), StandardOpenOption.READ)) {
+            try (FileChannel in = files.open(file(JOURNAL), StandardOpenOption.READ)) {
                 ByteBuffer bytes = ByteBuffer.allocate((int) Math.max(0, in.size() - position));
                 while (bytes.hasRemaining() && in.read(bytes, position + bytes.position()) >= 0) {
                     continue;
@@ -194,7 +204,7 @@
          * again; the lock goes last.
          */
         void delete() throws IOException {
-            Files.deleteIfExists(file(JOURNAL));
+            files.delete(file(JOURNAL));
             for (String name : List.of(JOURNAL + ".new", KNOWLEDGE + ".new", KNOWLEDGE, LOCK)) {
                 deleteOrTell(name);
             }
@@ -203,7 +213,7 @@
 
         private void deleteOrTell(String name) {
             try {
-                Files.deleteIfExists(file(name));
+                files.delete(file(name));
             } catch (IOException e) {
                 LOG.warn("a file of process {} stays: {}", number, e.toString());
             }
--- /dev/null
+++ b/src/test/java/wrenkeel/net/FullFolderTest.java
@@ -0,0 +1,87 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The lasting folder cannot be written for a while; what was taken on is still owed. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class FullFolderTest {
+    private static final String TAKEN = "HTTP/1.1 202 Accepted", REFUSED = "HTTP/1.1 503 Service Unavailable";
+    private static final String FULL = "No space left on device";
+
+    @TempDir
+    Path folder;
+    private Platform platform;
+    private Host host;
+
+    @BeforeEach
+    void begin() throws Exception {
+        platform = new Platform(folder);
+        host = new Host();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        host.close();
+        platform.close();
+    }
+
+    private Node relay(FileOperations files) throws Exception {
+        return new Node(platform.config(Platform.host("s-1", host.port(), 7, "ready")),
+            new Machine(MachineClock.SYSTEM, files));
+    }
+
+    private static String health(Node relay) throws IOException {
+        try (var client = new Platform.Client(relay)) {
+            return client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0);
+        }
+    }
+
+    /** A message that the folder holds, with no attempt made. */
+    private void owed(String id) throws Exception {
+        platform.config();
+        try (Journal journal = platform.leftBehind()) {
+            journal.take(new Message(id, "bill", 0, null, "key-" + id, 7, System.currentTimeMillis() + 60_000,
+                new byte[3]), null);
+        }
+    }
+
+    /** Guards against a refused start: until it can write, it says that it does not serve, and takes nothing on. */
+    @Test
+    void aStartWaitsUntilTheFolderCanBeWritten() throws Exception {
+        owed("a");
+        FailingFiles files = new FailingFiles(FULL);
+        try (Node relay = relay(files)) {
+            assertEquals(REFUSED, health(relay));
+            try (var client = new Platform.Client(relay)) {
+                assertEquals(REFUSED, client.post("b", "bill", 7, 16_000).get(0));
+            }
+            assertTrue(host.quiet(), "nothing is sent that cannot be written down");
+            files.failure = null;
+            Host.Call call = host.call();
+            assertEquals("a", call.header("X-Request-ID"));
+            call.answer(Host.OK);
+            assertEquals("HTTP/1.1 200 OK", health(relay));
+        }
+        assertEquals(List.of(), List.copyOf(platform.notices));
+    }
+
+    /** Guards the end: told to stop while it waits, it goes at once. */
+    @Test
+    void aStartThatWaitsCanBeEnded() throws Exception {
+        Node relay = relay(new FailingFiles(FULL));
+        InetSocketAddress address = relay.address();
+        relay.leave();
+        assertThrows(IOException.class, () -> new Platform.Client(address).close());
+    }
+}
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -40,7 +40,7 @@
         0.25, Relay.Effect.KEYED, true, 3_000_000, true, 12);
 
     private Journal open() throws IOException {
-        Journal journal = new Journal(folder, LIMIT, new ProcessClock(STILL));
+        Journal journal = new Journal(folder, LIMIT, new ProcessClock(STILL), FileOperations.SYSTEM);
         journal.adopt(entry -> { });
         return journal;
     }
@@ -286,7 +286,7 @@
     @Test
     void onlyWhatIsPassedOnIsTakenOverFromAProcessThatLives() throws IOException {
         Journal old = open();
-        try (Journal next = new Journal(folder, LIMIT, new ProcessClock(STILL))) {
+        try (Journal next = new Journal(folder, LIMIT, new ProcessClock(STILL), FileOperations.SYSTEM)) {
             Journal.Entry out = old.take(message("out", 10), RULES);
             Journal.Entry waits = old.take(message("waits", 10), RULES);
             assertTrue(next.earlierServes());
@@ -322,7 +322,7 @@
         Journal old = open();
         Journal.Entry first = old.take(message("first", 10), RULES);
         old.take(message("second", 10), RULES);
-        Journal next = new Journal(folder, LIMIT, new ProcessClock(STILL));
+        Journal next = new Journal(folder, LIMIT, new ProcessClock(STILL), FileOperations.SYSTEM);
         old.beginPassing();
         old.passed(first);
         old.leave("{}");
@@ -346,7 +346,7 @@
     @Test
     void aLaterProcessThatHasEndedDoesNotWait() throws IOException {
         try (Journal old = open()) {
-            new Journal(folder, LIMIT, new ProcessClock(STILL)).close();
+            new Journal(folder, LIMIT, new ProcessClock(STILL), FileOperations.SYSTEM).close();
             assertFalse(old.laterWaits());
         }
     }
