Wait at the start until the lasting folder can be written, and turn clients away meanwhile

Change: Node tries again after 50 ms, doubled up to 1 s, says so in the log, answers 503 to the health check and to messages if no earlier process may be serving at the address, and leaves at once when told to end. What no waiting mends (something else in a file's place, no number left, an address in use) still ends the start in one plain line. A number that was taken in vain is given back. The looks at an earlier process go on after any exception, and a folder whose listing breaks off is an IOException, not an unchecked one.

--- a/src/main/java/wrenkeel/net/Door.java
+++ b/src/main/java/wrenkeel/net/Door.java
@@ -102,6 +102,11 @@
         }
     }
 
+    /** False where the address is only reserved. */
+    boolean listens() {
+        return listener != null;
+    }
+
     /** The channel that connections are accepted on; null where the address is only reserved. */
     NioServerSocketChannel listener() {
         return listener;
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
@@ -146,7 +147,13 @@
         for (Tenure.Earlier earlier : tenure.earlier()) {
             legacies.add(new Legacy(earlier));
         }
-        rewrite();
+        try {
+            rewrite();
+        } catch (IOException e) {
+            tenure.abandon();
+            // What stands in a file's place does not go away by itself; all else may.
+            throw Files.isDirectory(fresh) || Files.isDirectory(file) ? new UnusableFolder(e) : e;
+        }
     }
 
     /** True while an earlier process serves: whatever stands in its file is its own. */
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -28,6 +29,8 @@
     private static final long SERVE_ON = 600, LEAVE_BY = 3_300;
     /** ms between looks: for the end, at what the earlier process passes on, and after a fault. */
     private static final long LOOK = 20, TURN_OVER = 10, AGAIN = 200;
+    /** ms between tries to use a lasting folder that fails: the first gap, doubled up to the longest. */
+    private static final long FOLDER_GAP_FIRST = 50, FOLDER_GAP_MOST = 1_000;
 
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -37,14 +40,18 @@
     private final Console console;
     private final ProcessClock clock;
     private volatile boolean ready;
-    private final Journal journal;
+    private final Machine machine;
+    private final Callers clients;
+    private final Server server;
     private volatile Config config;
-    private Loop loop;
-    private Server server;
-    private Callers clients;
+    /** Null until the lasting folder can be written. */
+    private volatile Journal journal;
+    /** Null as long as the journal. */
+    private volatile Loop loop;
     private Door door;
-    /** False while it stands by. */
+    /** False while it stands by, or waits for the lasting folder. */
     private boolean serving;
+    private boolean ending;
 
     /** Takes up what the lasting folder holds, and serves; or stands by while an earlier process serves. */
     Node(Config config) throws IOException, InterruptedException, ExecutionException {
@@ -53,21 +60,76 @@
 
     Node(Config config, Machine machine) throws IOException, InterruptedException, ExecutionException {
         this.config = config;
+        this.machine = machine;
+        clients = new Callers(config.descriptors().clients());
+        server = new Server(clients);
         clock = new ProcessClock(machine.clock());
         console = config.console() == null ? null : new Console(config.console(), () -> ready, figures);
         if (console != null) {
             LOG.info("operators at {}", consoleAddress());
         }
-        journal = new Journal(config.state(), config.diskBytes(), clock, machine.files());
         thread.submit(() -> {
-            begin();
+            start(FOLDER_GAP_FIRST);
+            return null;
+        }).get();
+    }
+
+    /**
+     * Begins this process's journal and serves, or stands by. While the folder cannot be written, it waits and
+     * tries again: what is owed there is not given up for that.
+     */
+    private void start(long gap) throws IOException, Wire.Malformed {
+        try {
+            if (journal == null) {
+                journal = new Journal(config.state(), config.diskBytes(), clock, machine.files());
+            }
+            if (loop == null) {
+                begin();
+            }
             if (journal.earlierServes()) {
                 standBy();
             } else {
                 serve();
             }
-            return null;
-        }).get();
+        } catch (UnusableFolder | SocketException | Wire.Malformed e) {
+            throw e;
+        } catch (IOException e) {
+            LOG.warn("the lasting folder cannot be used, tried again in {} ms: {}", gap, e.toString());
+            turnAwayUntilServing();
+            thread.schedule(() -> startAgain(Math.min(FOLDER_GAP_MOST, 2 * gap)), gap, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void startAgain(long gap) {
+        if (ending) {
+            return;
+        }
+        try {
+            start(gap);
+        } catch (IOException | RuntimeException e) {
+            LOG.error("cannot start, tried again in {} ms", gap, e);
+            thread.schedule(() -> startAgain(gap), gap, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Clients hear that this relay does not serve yet, unless another process may be serving them. */
+    private void turnAwayUntilServing() throws IOException {
+        if (door == null && alone()) {
+            server.turnAwayUntilServing();
+            door = Door.open(config.listen(), thread, server, nanos -> { });
+            LOG.info("not serving yet on {}", address());
+        }
+    }
+
+    /** True if no earlier process can be serving at the address. */
+    private boolean alone() {
+        try {
+            return journal == null ? !Tenure.anyLives(config.state(), machine.files())
+                : !journal.earlierServes();
+        } catch (IOException e) {
+            LOG.warn("the lasting folder cannot be read: {}", e.toString());
+            return false;
+        }
     }
 
     /** Reserves the clients' address, and looks again and again whether the earlier process has left. */
@@ -80,13 +142,16 @@
     }
 
     private void await() {
+        if (ending) {
+            return;
+        }
         try {
             if (journal.earlierServes()) {
                 thread.schedule(this::await, TURN_OVER, TimeUnit.MILLISECONDS);
             } else {
                 serve();
             }
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             LOG.error("cannot take over, tried again", e);
             thread.schedule(this::await, AGAIN, TimeUnit.MILLISECONDS);
         }
@@ -99,10 +164,14 @@
             loop.learn(left);
         }
         loop.adopt();
-        if (door != null) {
-            door.close();
+        if (door == null || !door.listens()) {
+            Door reserved = door;
+            door = Door.open(config.listen(), thread, server, nanos -> loop.acceptedLate(nanos));
+            if (reserved != null) {
+                reserved.close();
+            }
         }
-        door = Door.open(config.listen(), thread, server, loop::acceptedLate);
+        server.serve(loop);
         journal.takenOver();
         serving = true;
         ready = true;
@@ -115,7 +184,8 @@
         if (journal.hasLegacies()) {
             try {
                 loop.adopt();
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
+                // Guards what is still passed on: without another look nobody would take it over.
                 LOG.error("cannot take over all, tried again", e);
             }
             thread.schedule(this::adoptOn, TURN_OVER, TimeUnit.MILLISECONDS);
@@ -160,8 +230,12 @@
     synchronized void reload(Map<String, String> env) {
         try {
             Config next = config.reread(env);
-            thread.submit(() -> loop.retune(next)).get();
-            config = next;
+            thread.submit(() -> {
+                if (loop != null) {
+                    loop.retune(next);
+                }
+                config = next;
+            }).get();
             figures.reloaded();
             LOG.info("configuration read anew, discovery is at {}", next.discovery());
         } catch (Config.Unusable e) {
@@ -188,8 +262,6 @@
             (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                 whenNoticed));
         loop.start(config.known());
-        clients = new Callers(config.descriptors().clients());
-        server = new Server(loop, clients);
     }
 
     /** The address that clients connect to. */
@@ -204,7 +276,7 @@
 
     /** True when nothing is owed any more. */
     boolean idle() throws InterruptedException, ExecutionException {
-        return thread.submit(loop::idle).get();
+        return thread.submit(() -> loop == null || loop.idle()).get();
     }
 
     /**
@@ -216,9 +288,12 @@
         long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LEAVE_BY);
         ready = false;
         try {
-            thread.submit(server::leave).get();
+            thread.submit(() -> {
+                ending = true;
+                server.leave();
+            }).get();
             if (!thread.submit(() -> serving).get()) {
-                LOG.info("told to end while standing by");
+                LOG.info("told to end before it served");
             } else if (thread.submit(journal::laterWaits).get()) {
                 handOver(by);
             } else {
@@ -261,10 +336,17 @@
     /** The abrupt end: what is owed stays in the journal. */
     @Override
     public void close() {
-        thread.submit(loop::stop).awaitUninterruptibly();
+        thread.submit(() -> {
+            ending = true;
+            if (loop != null) {
+                loop.stop();
+            }
+        }).awaitUninterruptibly();
         group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
         try {
-            journal.close();
+            if (journal != null) {
+                journal.close();
+            }
         } catch (IOException e) {
             LOG.error("journal not closed", e);
         }
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -47,19 +47,22 @@
     private static final long TIME_MOST = 3_600_000;
     /** ms; a client hears of its message at most 400 ms after sending it, and an end may come 300 ms late. */
     private static final long ON_THE_WAY = 300;
+    /** us; told to a client that comes before the relay serves. */
+    private static final long NOT_YET_MICROS = 1_000_000;
 
-    private final Loop loop;
     private final Callers clients;
+    /** Null until the relay serves. */
+    private Loop loop;
+    private boolean notServingYet;
     private final long lingerMillis;
     private final ThrottledLog turnedAway = new ThrottledLog(LOG);
     private boolean leaving;
 
-    Server(Loop loop, Callers clients) {
-        this(loop, clients, LINGER);
+    Server(Callers clients) {
+        this(clients, LINGER);
     }
 
-    Server(Loop loop, Callers clients, long lingerMillis) {
-        this.loop = loop;
+    Server(Callers clients, long lingerMillis) {
         this.clients = clients;
         this.lingerMillis = lingerMillis;
     }
@@ -71,6 +74,17 @@
             new RequestDeadline(clients, REQUEST_WITHIN), new Requests());
     }
 
+    /** Until {@link #serve}, each message is refused, which harms nobody, and the health check says no. */
+    void turnAwayUntilServing() {
+        notServingYet = true;
+    }
+
+    /** From now on messages go to this relay's loop. */
+    void serve(Loop relay) {
+        loop = relay;
+        notServingYet = false;
+    }
+
     /** From now on each answer closes its connection. */
     void leave() {
         leaving = true;
@@ -119,9 +133,11 @@
                 }
                 String path = request.uri().split("\\?", 2)[0];
                 if (path.equals("/healthz")) {
-                    respond(context, HttpResponseStatus.valueOf(leaving ? 503 : 200), 0, keep);
+                    respond(context, HttpResponseStatus.valueOf(leaving || notServingYet ? 503 : 200), 0, keep);
                 } else if (!request.method().equals(HttpMethod.POST)) {
                     throw new Bad(HttpResponseStatus.METHOD_NOT_ALLOWED, "only POST hands a message in");
+                } else if (notServingYet) {
+                    respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE, NOT_YET_MICROS, false);
                 } else {
                     Message message = message(request, path);
                     loop.accept(message, new ToClient(context, message.id(), keep));
--- a/src/main/java/wrenkeel/net/Tenure.java
+++ b/src/main/java/wrenkeel/net/Tenure.java
@@ -1,6 +1,7 @@
 package wrenkeel.net;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.OverlappingFileLockException;
@@ -47,15 +48,12 @@
             before.addAll(numbers(folder, JOURNAL));
             long latest = before.stream().mapToLong(n -> n).max().orElse(0);
             if (latest == NUMBER_MOST) {
-                throw new IOException(folder + " holds a file with the number " + latest
+                throw new UnusableFolder(folder + " holds a file with the number " + latest
                     + ", none is left above it");
             }
             long next = latest + 1;
             try {
-                FileChannel lock = files.open(folder.resolve(LOCK + "." + next),
-                    StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
-                lock.lock();
-                Tenure tenure = new Tenure(folder, files, next, lock);
+                Tenure tenure = new Tenure(folder, files, next, locked(folder.resolve(LOCK + "." + next), files));
                 before.stream().distinct().sorted().map(n -> new Earlier(folder, files, n))
                     .filter(Earlier::hasFiles).forEach(tenure.earlier::add);
                 Earlier unnumbered = new Earlier(folder, files, 0);
@@ -70,11 +68,44 @@
         }
     }
 
+    private static FileChannel locked(Path file, FileOperations files) throws IOException {
+        FileChannel lock = files.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        try {
+            lock.lock();
+            return lock;
+        } catch (IOException e) {
+            lock.close();
+            files.delete(file);
+            throw e;
+        }
+    }
+
+    /** Gives the number back: nothing was written under it. */
+    void abandon() throws IOException {
+        files.delete(file(LOCK));
+        close();
+    }
+
+    /** True while any process that shares the folder lives. */
+    static boolean anyLives(Path folder, FileOperations files) throws IOException {
+        for (long other : numbers(folder, LOCK)) {
+            try (Earlier process = new Earlier(folder, files, other)) {
+                if (!process.over()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     private static List<Long> numbers(Path folder, String name) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             return new ArrayList<>(files.map(file -> file.getFileName().toString())
                 .filter(file -> file.matches(name + "\\.[0-9]{1,18}"))
                 .map(file -> Long.parseLong(file.substring(name.length() + 1))).toList());
+        } catch (UncheckedIOException e) {
+            // The folder could not be read to its end.
+            throw e.getCause();
         }
     }
 
--- a/src/test/java/wrenkeel/net/CallersTest.java
+++ b/src/test/java/wrenkeel/net/CallersTest.java
@@ -79,7 +79,7 @@
 
     /** A client of the relay's server; if it answers nothing, each whole request stays open. */
     private SocketPair client(boolean answers) throws Exception {
-        SocketPair pair = new SocketPair(new Server(null, callers));
+        SocketPair pair = new SocketPair(new Server(callers));
         pairs.add(pair);
         pair.register(thread);
         if (!answers) {
--- a/src/test/java/wrenkeel/net/LingeringCloseTest.java
+++ b/src/test/java/wrenkeel/net/LingeringCloseTest.java
@@ -63,7 +63,7 @@
     @ValueSource(strings = {"nonsense\r\n\r\n", "POST /bill HTTP/1.1\r\nContent-Length: 70000\r\n\r\n",
         "GET /bill HTTP/1.1\r\nHost: a\r\n\r\n", "GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"})
     void aPeerThatStillSendsIsNotReset(String request) throws Exception {
-        try (SocketPair pair = new SocketPair(new Server(null, callers, ENDLESS))) {
+        try (SocketPair pair = new SocketPair(new Server(callers, ENDLESS))) {
             pair.send(request + MUCH);
             pair.register(thread);
             assertNotNull(pair.status());
@@ -80,7 +80,7 @@
     /** Guards against a lost message: a request that crosses the idle time-out is neither served nor reset. */
     @Test
     void aRequestThatCrossesTheIdleTimeOutIsDiscarded() throws Exception {
-        try (SocketPair pair = new SocketPair(new Server(null, callers, ENDLESS))) {
+        try (SocketPair pair = new SocketPair(new Server(callers, ENDLESS))) {
             pair.send(HEALTH);
             pair.register(thread);
             assertEquals("200", pair.status());
@@ -168,7 +168,7 @@
     /** Guards the orderly end, which waits until no connection is left. */
     @Test
     void aPeerThatKeepsItsSideOpenDoesNotHoldItsPlaceForLong() throws Exception {
-        try (SocketPair pair = new SocketPair(new Server(null, callers))) {
+        try (SocketPair pair = new SocketPair(new Server(callers))) {
             pair.send(HEALTH.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
             pair.register(thread);
             assertEquals("200", pair.status());
--- a/src/test/java/wrenkeel/net/ServerConnectionTest.java
+++ b/src/test/java/wrenkeel/net/ServerConnectionTest.java
@@ -56,7 +56,8 @@
                 (whenListed, whenNoticed) -> new Discovery(thread, calls, config.discovery(), hosts, whenListed,
                     whenNoticed));
             loop.start(config.known());
-            server = new Server(loop, new Callers(10));
+            server = new Server(new Callers(10));
+            server.serve(loop);
         });
     }
 
