--- a/src/test/java/wrenkeel/net/FailingFiles.java
+++ b/src/test/java/wrenkeel/net/FailingFiles.java
@@ -10,11 +10,17 @@
 import java.nio.file.OpenOption;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Files that can be written only while the test allows it, as in a full folder or on a disk that fails. */
 final class FailingFiles implements FileOperations {
     /** What the system says; null while all goes well. */
     volatile String failure;
+    /** Writes that still go well before {@link #failure} holds. */
+    final AtomicInteger goodWrites = new AtomicInteger();
+    /** Writes that have failed. */
+    final Semaphore failedWrites = new Semaphore(0);
     /** A write that fails leaves so many bytes of what it was to write. */
     volatile int bytesBeforeFailure;
     volatile boolean truncateFails, closeFails, replaceFails;
@@ -24,7 +30,8 @@
     }
 
     private void check() throws IOException {
-        if (failure != null) {
+        if (failure != null && goodWrites.getAndDecrement() <= 0) {
+            failedWrites.release();
             throw new IOException(failure);
         }
     }
@@ -56,7 +63,7 @@
 
         @Override
         public int write(ByteBuffer bytes) throws IOException {
-            if (failure != null && bytesBeforeFailure > 0) {
+            if (failure != null && goodWrites.get() <= 0 && bytesBeforeFailure > 0) {
                 ByteBuffer part = bytes.slice().limit(Math.min(bytesBeforeFailure, bytes.remaining()));
                 file.write(part);
             }
--- a/src/test/java/wrenkeel/net/FullFolderTest.java
+++ b/src/test/java/wrenkeel/net/FullFolderTest.java
@@ -76,6 +76,26 @@
         assertEquals(List.of(), List.copyOf(platform.notices));
     }
 
+    /** Guards a message's attempts: what cannot be written down is not sent, and is none of them. */
+    @Test
+    void aFullFolderUsesUpNoAttempts() throws Exception {
+        FailingFiles files = new FailingFiles(null);
+        try (Node relay = relay(files); var client = new Platform.Client(relay)) {
+            assertEquals(TAKEN, client.post("a", "bill", 7, 60_000).get(0));
+            Host.Call first = host.call();
+            files.failure = FULL;
+            first.answer("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+            // Its eleven further attempts with their outcomes, and its end.
+            files.failedWrites.acquire(2 * 11 + 1);
+            files.failure = null;
+            Host.Call second = host.call();
+            assertNotNull(second, "ended without another call: " + platform.notices);
+            assertEquals("a", second.header("X-Request-ID"));
+            second.answer(Host.OK);
+        }
+        assertEquals(List.of(), List.copyOf(platform.notices));
+    }
+
     /** Guards the end: told to stop while it waits, it goes at once. */
     @Test
     void aStartThatWaitsCanBeEnded() throws Exception {
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -350,4 +350,48 @@
             assertFalse(old.laterWaits());
         }
     }
+
+    private Journal open(FileOperations files) throws IOException {
+        return new Journal(folder, LIMIT, new ProcessClock(STILL), files);
+    }
+
+    /** Guards against a needless end: a record half written between two others puts neither in doubt. */
+    @Test
+    void anAdoptionThatFailsHalfWayLeavesNoGap() throws IOException {
+        try (Journal before = open()) {
+            before.take(message("a", 10), RULES);
+            before.take(message("b", 10), RULES);
+        }
+        FailingFiles files = new FailingFiles(null);
+        try (Journal journal = open(files)) {
+            files.goodWrites.set(1);
+            files.bytesBeforeFailure = 5;
+            files.truncateFails = true;
+            files.failure = "Input/output error";
+            assertThrows(IOException.class, () -> journal.adopt(entry -> { }));
+            files.failure = null;
+            journal.adopt(entry -> { });
+            assertEquals(2, journal.size());
+        }
+        try (Journal journal = open()) {
+            assertEquals(List.of("a", "b"), journal.owed().stream().map(e -> e.message.id()).toList());
+            assertTrue(journal.owed().stream().allMatch(e -> e.attempts.isEmpty()), "neither was ever sent");
+        }
+    }
+
+    /** Guards what comes after a compaction: it belongs into the new file, whatever became of the old one. */
+    @Test
+    void anOldFileThatCannotBeClosedIsLeftAllTheSame() throws IOException {
+        FailingFiles files = new FailingFiles(null);
+        try (Journal journal = open(files)) {
+            journal.take(message("a", 10), RULES);
+            files.closeFails = true;
+            journal.beginPassing();
+            files.closeFails = false;
+            journal.take(message("b", 10), RULES);
+        }
+        try (Journal journal = open()) {
+            assertEquals(List.of("a", "b"), journal.owed().stream().map(e -> e.message.id()).toList());
+        }
+    }
 }
