--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -239,8 +239,9 @@
                 if (legacy.ended || legacy.passed.contains(entry.number)) {
                     Origin origin = new Origin(legacy.number(), entry.number);
                     if (!absorbed.contains(legacy.number()) && !adopted.contains(origin)) {
-                        whenOwed.accept(adopt(entry, origin, legacy.times(clock)));
+                        Entry owed = adopt(entry, origin, legacy.times(clock));
                         adopted.add(origin);
+                        whenOwed.accept(owed);
                     }
                     legacy.entries.remove(entry.number);
                 }
@@ -259,8 +260,7 @@
             records.writeBytes(origin(origin));
         }
         records.writeBytes(record(ABSORBED, legacy.number(), o -> { }));
-        write(out, records.toByteArray());
-        size = out.position();
+        put(records.toByteArray());
         legacy.earlier.delete();
         legacies.remove(legacy);
     }
@@ -274,8 +274,7 @@
         ByteArrayOutputStream records = new ByteArrayOutputStream();
         records.writeBytes(origin(origin));
         write(entry, records::writeBytes);
-        write(out, records.toByteArray());
-        size = out.position();
+        put(records.toByteArray());
         entry.reserved = reserve(taken(entry).length, from.rules);
         reserved += entry.reserved;
         entries.put(entry.number, entry);
@@ -358,6 +357,15 @@
         }
     }
 
+    /** A send that was decided and is not made, for it cannot be written down; it keeps its number. */
+    void notMade(Entry entry, long time, int zone) {
+        Attempt attempt = new Attempt(time, zone);
+        attempt.mayHaveRun = false;
+        entry.attempts.add(attempt);
+        // The file lacks it, and its later records would have other numbers.
+        behind = true;
+    }
+
     /** An outcome has proved that the attempt never ran. */
     void notRun(Entry entry, int attempt) throws IOException {
         entry.attempts.get(attempt).mayHaveRun = false;
@@ -399,13 +407,21 @@
 
     // ---- The file -------------------------------------------------------------------------------
     private void append(byte[] record) throws IOException {
-        if (behind || !passing && size + record.length + reserved > room()) {
+        if (!passing && size + record.length + reserved > room()) {
+            rewrite();
+        }
+        put(record);
+    }
+
+    /** Writes at the end; what a failed write may have left there is first made good by writing all anew. */
+    private void put(byte[] records) throws IOException {
+        if (behind) {
             rewrite();
         }
         behind = true;
-        write(out, record);
+        write(out, records);
         behind = false;
-        size += record.length;
+        size += records.length;
     }
 
     /** A record cut short by a fault is taken back, lest what follows it be lost with it. */
@@ -416,11 +432,20 @@
                 channel.write(left);
             }
         } catch (IOException e) {
-            channel.truncate(before);
+            try {
+                channel.truncate(before);
+            } catch (IOException second) {
+                e.addSuppressed(second);
+            }
             throw e;
         }
     }
 
+    /** Writes all that is owed anew, which makes good whatever writes before it have failed. */
+    void repair() throws IOException {
+        rewrite();
+    }
+
     private interface Sink {
         void write(byte[] record) throws IOException;
     }
@@ -442,6 +467,7 @@
 
     /** Writes what is owed to a new file and puts it in the old one's place. */
     private void rewrite() throws IOException {
+        behind = true;
         FileChannel next = files.open(fresh, StandardOpenOption.CREATE,
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE);
@@ -454,17 +480,31 @@
                 write(entry, record -> write(next, record));
             }
             files.replace(fresh, file);
+            size = next.position();
         } catch (IOException e) {
-            next.close();
-            files.delete(fresh);
+            discard(next, e);
             throw e;
         }
-        if (out != null) {
-            out.close();
-        }
+        FileChannel old = out;
         out = next;
         behind = false;
-        size = next.position();
+        try {
+            if (old != null) {
+                old.close();
+            }
+        } catch (IOException e) {
+            LOG.warn("the journal's old file is not closed: {}", e.toString());
+        }
+    }
+
+    private void discard(FileChannel next, IOException cause) {
+        try {
+            next.close();
+            files.delete(fresh);
+        } catch (IOException e) {
+            // It is truncated before it is written again.
+            cause.addSuppressed(e);
+        }
     }
 
     /** A message by the file that it was first written to. */
