--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -136,7 +136,7 @@
     private List<Action> out = new ArrayList<>();
     private long now, beganAt, seq, turns, wakeAt = NEVER, listBy = Long.MIN_VALUE;
     private int slotsUsed, elsewhere, open, logged, avoided;
-    private boolean leaving, releasing;
+    private boolean leaving, releasing, storageDown;
 
     /** A relay that knows nothing yet but its settings. */
     public Control(long seed, Settings settings) {
@@ -211,6 +211,9 @@
             active.add(d);
         } else if (event instanceof Withdrawn e && messages.containsKey(e.id())) {
             close(messages.get(e.id()));
+        } else if (event instanceof Storage e) {
+            storageDown = !e.writable();
+            dests.values().stream().filter(d -> d.waiting > 0).forEach(active::add);
         } else if (event instanceof Due && wakeAt <= now) {
             wakeAt = NEVER;
         }
@@ -261,7 +264,7 @@
             m.attempts.add(recovered(m, before));
         }
         m.owed = e.takenUp() && m.attempts.isEmpty();
-        if (!m.attempts.isEmpty() && (m.attempts.size() >= m.cls.tries()
+        if (!m.attempts.isEmpty() && (m.tries() >= m.cls.tries()
             || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun())) {
             giveUp(m);
         } else if (m.key == null || m.key.line.peekFirst() == m) {
@@ -391,6 +394,7 @@
         Attempt a = m.attempts.get(e.attempt());
         a.done = true;
         a.maybeRan = !e.outcome().neverRan();
+        a.unmade = e.outcome().neverMade();
         m.open--;
         free(a);
         observe(a, e);
@@ -409,7 +413,7 @@
 
     /** No attempt is out and none has delivered: wait for another, or end. */
     private void afterFailure(Msg m) {
-        boolean spent = m.attempts.size() >= m.cls.tries() || now >= m.deadline;
+        boolean spent = m.tries() >= m.cls.tries() || now >= m.deadline;
         if (spent || m.cls.effect() == Effect.UNSAFE && m.mayHaveRun()) {
             giveUp(m);
         } else {
@@ -424,7 +428,9 @@
         if (--a.call.open == 0) {
             slotsUsed--;
             r.dest.calls--;
-            r.idle.addLast(now);
+            if (!a.unmade) {
+                r.idle.addLast(now);
+            }
             release(r);
         }
         r.trials -= a.trial ? 1 : 0;
@@ -577,7 +583,7 @@
 
     /** The one gate of every send: when this message may go to this route; now or earlier means it may. */
     private long gate(Msg m, Route r, boolean copy) {
-        if (!r.ready || m.ended || m.dest != r.dest || m.attempts.size() >= m.cls.tries()
+        if (storageDown || !r.ready || m.ended || m.dest != r.dest || m.tries() >= m.cls.tries()
             || m.deadline <= now || !effectAllows(m, r, copy)) {
             return NEVER;
         }
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -17,10 +17,17 @@
         /** A second run would take effect twice. */ UNSAFE
     }
 
-    /** How one attempt ended. Only FULL, CONNECT_FAILED and NOT_SENT prove that the message never ran. */
-    public enum Outcome { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT;
+    /** How one attempt ended. */
+    public enum Outcome { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT,
+        /** The relay could not write the attempt down. */ NOT_JOURNALED;
+
         /** True when this outcome proves that the attempt had no effect. */
-        public boolean neverRan() { return this == FULL || this == CONNECT_FAILED || this == NOT_SENT; }
+        public boolean neverRan() {
+            return this == FULL || this == CONNECT_FAILED || this == NOT_SENT || neverMade();
+        }
+
+        /** True when the relay's own machine failed: no attempt was made, and the endpoint is not to blame. */
+        public boolean neverMade() { return this == NOT_JOURNALED; }
     }
 
     /** Standing of an endpoint in the list; it says nothing of its health. */
@@ -137,6 +144,9 @@
     /** The process before this one still has so many calls out to a destination. */
     public record Elsewhere(long destination, int calls) implements Event { }
 
+    /** Whether attempts can be written down; while they cannot, none may be made. */
+    public record Storage(boolean writable) implements Event { }
+
     /** A timer asked for with {@link Wake} is due. */
     public record Due() implements Event { }
 
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -65,6 +65,15 @@
             return full * (1 - part * (1 - cls.lateWorth()));
         }
 
+        /** Attempts that count against those it has. */
+        int tries() {
+            int n = 0;
+            for (Attempt a : attempts) {
+                n += a.unmade ? 0 : 1;
+            }
+            return n;
+        }
+
         int tries(Route route) {
             int n = 0;
             for (Attempt a : attempts) {
@@ -82,6 +91,8 @@
         /** {@code idle}: how long its connection had been idle; -1 for a new one. */
         long sent, idle = -1;
         boolean done, cancelled, trial, again, overdue, maybeRan = true;
+        /** The relay's own machine failed: it was never made. */
+        boolean unmade;
     }
 
     /** What holds one slot: one message, or a bundle. */
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -87,6 +87,7 @@
     /** Unix time, ms. */
     private final long beganAt;
     private final long knowledgeMost;
+    private final JournalHealth journalHealth;
     private boolean turnDue;
     private boolean stopped;
     private boolean leaving;
@@ -106,6 +107,7 @@
         this.hosts = hosts;
         this.pool = pool;
         this.journal = journal;
+        this.journalHealth = new JournalHealth(loop, journal, ok -> tell(new Relay.Storage(ok)));
         this.figures = figures;
         this.discovery = agent.open(this::listed, this::noticed);
         classes.addAll(settings.classes());
@@ -301,6 +303,7 @@
      */
     void stop() {
         stopped = true;
+        journalHealth.stop();
         List.copyOf(unanswered.keySet()).forEach(id -> unanswered.remove(id).refused(COME_BACK));
     }
 
@@ -324,7 +327,7 @@
             answer.taken();
             return;
         }
-        if (known != null || stopped || open >= settings.allowed().open()) {
+        if (known != null || stopped || !journalHealth.isWritable() || open >= settings.allowed().open()) {
             figures.rejected(message.messageClass());
             answer.refused(COME_BACK);
             return;
@@ -425,9 +428,9 @@
         for (String id : List.copyOf(unanswered.keySet())) {
             Held h = held.get(id);
             try {
-                h.entry = journal.take(h.message, h.rules);
+                h.entry = journalHealth.isWritable() ? journal.take(h.message, h.rules) : null;
             } catch (IOException e) {
-                LOG.error("journal cannot be written, message {} refused", id, e);
+                journalHealth.failed("message " + id + " refused", e);
             }
             if (h.entry == null) {
                 refuse(id, unanswered.get(id));
@@ -492,17 +495,16 @@
             h.untried = false;
             takenUp.tried();
         }
-        boolean written = false;
-        try {
-            if (!h.over) {
-                journal.sent(h.entry, clock.millis(), host.zone);
-                written = true;
-            }
-        } catch (IOException e) {
-            LOG.error("journal cannot be written, message {} not sent", a.id(), e);
+        if (h.over) {
+            ended(h, attempt, host, unsent(Relay.Outcome.NOT_SENT, true));
+            return;
         }
-        if (!written || !host.ready) {
-            ended(h, attempt, host, new HostPool.Reply(Relay.Outcome.NOT_SENT, h.over, 0, 0, -1, -1));
+        if (!writtenDown(h, host)) {
+            ended(h, attempt, host, unsent(Relay.Outcome.NOT_JOURNALED, false));
+            return;
+        }
+        if (!host.ready) {
+            ended(h, attempt, host, unsent(Relay.Outcome.NOT_SENT, false));
             return;
         }
         HostPool.Part part = new HostPool.Part(h.message, a.timeout(),
@@ -515,6 +517,25 @@
         bundles.computeIfAbsent(host, key -> new Bundle()).add(part);
     }
 
+    private static HostPool.Reply unsent(Relay.Outcome outcome, boolean over) {
+        return new HostPool.Reply(outcome, over, 0, 0, -1, -1);
+    }
+
+    /** Writes an attempt down before any byte of it goes out; false if it must not be made. */
+    private boolean writtenDown(Held h, HostList.Host host) {
+        if (!journalHealth.isWritable()) {
+            journal.notMade(h.entry, clock.millis(), host.zone);
+            return false;
+        }
+        try {
+            journal.sent(h.entry, clock.millis(), host.zone);
+            return true;
+        } catch (IOException e) {
+            journalHealth.failed("message " + h.message.id() + " not sent", e);
+            return false;
+        }
+    }
+
     private void depart(HostList.Host host) {
         pool.call(host, bundles.remove(host).parts());
     }
@@ -556,7 +577,7 @@
             try {
                 journal.waits(host.name, clock.millis() + span / 1_000 + 1);
             } catch (IOException e) {
-                LOG.error("journal cannot be written, a wait for {} is not passed on", host.name, e);
+                journalHealth.failed("a wait for " + host.name + " is not passed on", e);
             }
         }
     }
@@ -566,7 +587,7 @@
             journal.notRun(h.entry, attempt);
         } catch (IOException e) {
             // The attempt then counts as one that may have run, which is safe.
-            LOG.error("journal cannot be written, outcome of message {} is not kept", h.message.id(), e);
+            journalHealth.failed("outcome of message " + h.message.id() + " is not kept", e);
         }
     }
 
@@ -592,7 +613,7 @@
             try {
                 journal.passed(h.entry);
             } catch (IOException e) {
-                LOG.error("journal cannot be written, message {} is passed on at the end", id, e);
+                journalHealth.failed("message " + id + " is passed on at the end", e);
             }
         }
     }
@@ -601,8 +622,7 @@
         try {
             journal.ended(entry, end);
         } catch (IOException e) {
-            LOG.error("journal cannot be written, end of message {} is told all the same",
-                entry.message.id(), e);
+            journalHealth.failed("end of message " + entry.message.id() + " is told all the same", e);
         }
         discovery.notice(entry);
     }
@@ -639,8 +659,7 @@
         try {
             journal.closed(entry);
         } catch (IOException e) {
-            LOG.error("journal cannot be written, message {} will be taken up again after a restart",
-                entry.message.id(), e);
+            journalHealth.failed("message " + entry.message.id() + " would be taken up again", e);
         }
     }
 
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -133,7 +133,8 @@
                 }
                 String path = request.uri().split("\\?", 2)[0];
                 if (path.equals("/healthz")) {
-                    respond(context, HttpResponseStatus.valueOf(leaving || notServingYet ? 503 : 200), 0, keep);
+                    boolean serves = !leaving && !notServingYet;
+                    respond(context, HttpResponseStatus.valueOf(serves ? 200 : 503), 0, keep);
                 } else if (!request.method().equals(HttpMethod.POST)) {
                     throw new Bad(HttpResponseStatus.METHOD_NOT_ALLOWED, "only POST hands a message in");
                 } else if (notServingYet) {
