Test attempts for which this machine has no socket for a moment (red)

Seen red: a connect that fails by EADDRNOTAVAIL, ENETUNREACH or ENOBUFS counts as the endpoint's failure; the module knows no attempt without a socket, and would make it again at once. Green beside them: nothing is sent while attempts cannot be written down.

--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -19,15 +19,16 @@
 
     /** How one attempt ended. */
     public enum Outcome { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT,
-        /** The relay could not write the attempt down. */ NOT_JOURNALED;
+        /** The relay could not write the attempt down. */ NOT_JOURNALED,
+        /** The relay's machine had no socket for it. */ NO_SOCKET;
 
         /** True when this outcome proves that the attempt had no effect. */
         public boolean neverRan() {
             return this == FULL || this == CONNECT_FAILED || this == NOT_SENT || neverMade();
         }
 
-        /** True when the relay's own machine failed: no attempt was made, and the endpoint is not to blame. */
-        public boolean neverMade() { return this == NOT_JOURNALED; }
+        /** True when the relay's own machine failed: no attempt was made, no endpoint is to blame. */
+        public boolean neverMade() { return this == NOT_JOURNALED || this == NO_SOCKET; }
     }
 
     /** Standing of an endpoint in the list; it says nothing of its health. */
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -75,8 +75,8 @@
     }
 
     /**
-     * Begins this process's journal and serves, or stands by. While the folder cannot be written, it waits and
-     * tries again: what is owed there is not given up for that.
+     * Begins this process's journal and serves, or stands by. While the folder cannot be written, it waits
+     * and tries again: what is owed there is not given up for that.
      */
     private void start(long gap) throws IOException, Wire.Malformed {
         try {
--- a/src/main/java/wrenkeel/net/Tenure.java
+++ b/src/main/java/wrenkeel/net/Tenure.java
@@ -53,7 +53,8 @@
             }
             long next = latest + 1;
             try {
-                Tenure tenure = new Tenure(folder, files, next, locked(folder.resolve(LOCK + "." + next), files));
+                FileChannel lock = locked(folder.resolve(LOCK + "." + next), files);
+                Tenure tenure = new Tenure(folder, files, next, lock);
                 before.stream().distinct().sorted().map(n -> new Earlier(folder, files, n))
                     .filter(Earlier::hasFiles).forEach(tenure.earlier::add);
                 Earlier unnumbered = new Earlier(folder, files, 0);
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -552,6 +552,51 @@
         assertEquals(1, count(b.turn(ended(again.get(0), 1, Outcome.FULL)), Refuse.class));
     }
 
+    /** Guards a destination that is well, and a message's attempts, against this machine's own trouble. */
+    @Test
+    void aMachineWithoutSocketsForAMomentUsesUpNoAttempt() {
+        Bench b = new Bench(settings(8, false, 1, 3, 200));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 50))));
+        b.warmUp(10, 1);
+        Accepted message = b.message(1, 1);
+        List<Send> sent = sends(b.turn(message));
+        for (int i = 0; i < 5; i++) {
+            List<Action> after = b.turn(ended(sent.get(0), i, Outcome.NO_SOCKET));
+            assertTrue(sends(after).isEmpty(), "not again at once");
+            sent = sends(b.pass(SECOND));
+            assertEquals(1, sent.size(), "again after a moment, try " + i);
+        }
+        assertEquals(0, b.control.unavailable(), "the endpoint is not to blame");
+        b.turn(ended(sent.get(0), 5, Outcome.OK));
+    }
+
+    /** Guards the others: a route for which there is never a socket fails in the end. */
+    @Test
+    void aRouteWithoutASocketForLongIsTakenForFailing() {
+        Bench b = new Bench(settings(8, false, 1, 3, 200));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 50))));
+        List<Send> sent = sends(b.turn(b.message(2, 1)));
+        for (int i = 0; i < 12 && b.control.unavailable() == 0; i++) {
+            List<Action> after = b.turn(ended(sent.get(0), i, Outcome.NO_SOCKET));
+            sent = sends(b.control.unavailable() == 0 ? b.pass(2 * SECOND) : after);
+        }
+        assertEquals(1, b.control.unavailable());
+    }
+
+    /** Guards what was taken on while nothing can be written down: it waits, and goes out as soon as that can be. */
+    @Test
+    void nothingIsSentWhileAttemptsCannotBeWrittenDown() {
+        Bench b = new Bench(settings(8, false, 1, 1, 200));
+        b.turn(new Listed(ListKind.WHOLE, List.of(endpoint(11, 0, 1, 1, 50))));
+        Accepted message = b.message(2, 1);
+        List<Send> sent = sends(b.turn(message));
+        assertEquals(1, sent.size());
+        assertTrue(b.turn(new Storage(false), ended(sent.get(0), 0, Outcome.NOT_JOURNALED)).stream()
+            .noneMatch(a -> a instanceof Send || a instanceof Refuse || a instanceof Fail));
+        assertTrue(sends(b.pass(2 * SECOND)).isEmpty());
+        assertEquals(1, sends(b.turn(new Storage(true))).size(), "its only attempt is still to be made");
+    }
+
     /** Guards against clients that come back to a closed door: a refusal tells when the told wait is over. */
     @Test
     void aRefusalTellsWhenToComeBack() {
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketAddress;
@@ -638,6 +639,22 @@
         assertEquals(Outcome.NOT_SENT, reply().outcome());
     }
 
+    /** Guards an endpoint that is well: it has not even been asked. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Cannot assign requested address", "Network is unreachable", "No buffer space available"})
+    void aConnectThatThisMachineCannotMakeIsNotTheEndpointsFailure(String fault) throws Exception {
+        HostPool pool = new HostPool(group.next(), new Bootstrap().group(group), () -> new NioSocketChannel() {
+            @Override
+            protected boolean doConnect(SocketAddress remote, SocketAddress local) throws Exception {
+                doClose();
+                throw new SocketException(fault);
+            }
+        }, LONG, KEEP_ALIVE, 100, new Figures());
+        call(pool, 9, part("a", null, LONG, 1));
+        assertEquals(Outcome.NO_SOCKET, reply().outcome());
+        assertEquals(0, held(pool));
+    }
+
     /** Guards the connection against a fault in what hears of the end. */
     @Test
     void aConnectionIsClosedThoughTheReplyCannotBeTold() throws Exception {
