Blame no endpoint and count no attempt where this machine had no socket for a moment

Cause: socket() and connect() that fail at once (ENFILE, EADDRNOTAVAIL, ENETUNREACH, ENOBUFS) were reported as CONNECT_FAILED: each used up an attempt, cut the time that idle connections are held, and three in a row shut a destination that was well.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -111,6 +111,9 @@
     private static final long OF_USE = 60 * SECOND;
     /** Destinations known at once beyond which only warm-ups and windows keep a quiet one. */
     private static final int KNOWN_MOST = 4_096;
+    /** us; first back-off of a route for which this machine had no socket; so many in a row are its fault. */
+    private static final long UNOPENED_GAP = 50 * MS;
+    private static final int UNOPENED_MOST = 6;
     /** Log lines at most: operators keep only the first few hundred. */
     private static final int LOG_LINES = 100;
 
@@ -733,6 +736,7 @@
         if (a.again && (e.outcome() == Outcome.OK || e.outcome() == Outcome.FULL)) {
             eases[kind] += EASE_WEIGHT * ((e.outcome() == Outcome.OK ? 1 : 0) - eases[kind]);
         }
+        a.route.unopened = e.outcome() == Outcome.NO_SOCKET ? a.route.unopened + 1 : 0;
         switch (e.outcome()) {
             case OK -> {
                 answered(d, a.route, e.latency());
@@ -761,6 +765,7 @@
                 failed(a);
             }
             case ERROR -> failed(a);
+            case NO_SOCKET -> unopened(a);
             default -> { }
         }
         if (e.limit() > 0) {
@@ -772,6 +777,15 @@
         }
     }
 
+    /** Guards a route that is well against this machine's own trouble, unless that lasts. */
+    private void unopened(Attempt a) {
+        if (a.route.unopened >= UNOPENED_MOST) {
+            failed(a);
+        }
+        long gap = UNOPENED_GAP << Math.min(a.route.unopened, UNOPENED_MOST);
+        a.route.backoffUntil = Math.max(a.route.backoffUntil, now + Math.min(BACKOFF, gap));
+    }
+
     /** Guards against idle connections dropped unseen; failures in a row or on new ones tell otherwise. */
     private void doubt(Attempt a) {
         double trust = trusts[a.route.kind];
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -265,6 +265,8 @@
         boolean ready, confirmed, avoided;
         Health health = Health.GOOD;
         int inflight, failRun, trials, overdue;
+        /** Attempts in a row for which this machine had no socket. */
+        int unopened;
         double latency, failing;
         long backoffUntil, lastOk, lastOkSent = -1, outSince, returnAt;
         final ArrayDeque<Long> idle = new ArrayDeque<>(2);
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -22,7 +22,10 @@
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -284,7 +287,7 @@
         if (!connect.channel().isRegistered()) {
             // Without a descriptor there is no channel that could be closed, and the listeners of its
             // future are called on another thread.
-            loop.execute(() -> call.end(Outcome.CONNECT_FAILED));
+            loop.execute(() -> call.end(Outcome.NO_SOCKET));
             return;
         }
         held++;
@@ -295,7 +298,7 @@
         });
         connect.addListener(done -> {
             if (!done.isSuccess()) {
-                call.end(Outcome.CONNECT_FAILED);
+                call.end(isOfThisMachine(done.cause()) ? Outcome.NO_SOCKET : Outcome.CONNECT_FAILED);
             } else if (call.over()) {
                 call.channel.close();
             } else {
@@ -307,6 +310,12 @@
         });
     }
 
+    /** True for a connect that this machine did not even try: no address, buffer or way out for a moment. */
+    private static boolean isOfThisMachine(Throwable cause) {
+        boolean ofTheEndpoint = cause instanceof ConnectException || cause instanceof NoRouteToHostException;
+        return cause instanceof SocketException && !ofTheEndpoint;
+    }
+
     /** Guards the descriptors: true if there may be one more connection, for which others may be closed. */
     private boolean makeRoom() {
         while (held >= most) {
