Check each send once more before it goes out, and count what must never happen

What it stops is counted, logged with the message's id and does not go out. Counted besides: a call's first byte to a draining endpoint, a second end, an end that the platform had too late, a connection closed on a whole request. New figures: why messages were refused, failed writes, the worst lag of the event loop; a trace of each message by its id. A periodic task that throws goes on.

--- a/src/main/java/wrenkeel/net/EventLoopLag.java
+++ b/src/main/java/wrenkeel/net/EventLoopLag.java
@@ -2,20 +2,27 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * How late the event loop has been of late, measured by a task that it runs at a fixed period. What is read
  * from a socket now may have waited there for that long. One thread.
  */
 final class EventLoopLag {
+    private static final Logger LOG = LoggerFactory.getLogger(EventLoopLag.class);
     /** A lag is remembered for so long: connections accepted after a pause are read a few passes later. */
     private static final long REMEMBERED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** A pause of that length or more is logged: it may cost a message its time. */
+    private static final long TOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     private final LongSupplier nanoClock;
     private final long periodNanos;
     private long lastTick;
     private long worst;
     private long worstAt;
+    private long worstEver;
 
     /** {@code periodMillis}: between two calls of {@link #tick}. */
     EventLoopLag(long periodMillis, LongSupplier nanoClock) {
@@ -27,8 +34,18 @@
     /** To be called by the event loop once in each period. */
     void tick() {
         long now = nanoClock.getAsLong();
-        remember(overdue(now), now);
+        long late = overdue(now);
+        remember(late, now);
+        worstEver = Math.max(worstEver, late);
         lastTick = now;
+        if (late > TOLD_NANOS) {
+            LOG.warn("event loop late by {} ms", TimeUnit.NANOSECONDS.toMillis(late));
+        }
+    }
+
+    /** The latest that the event loop has been since the start, ms. */
+    long worstMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(worstEver);
     }
 
     /** What is read now may have waited for so many nanoseconds for another reason than a late event loop. */
--- a/src/main/java/wrenkeel/net/Figures.java
+++ b/src/main/java/wrenkeel/net/Figures.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -22,13 +23,16 @@
     }
 
     /** What stands at one moment, rather than being counted. */
-    private record Standing(int pending, int members, int unavailable, long version, long faults) { }
+    private record Standing(int pending, int members, int unavailable, long version, long faults,
+                            long journalFailures, long worstLagMillis) { }
 
     private final Map<String, Ends> classes = new ConcurrentSkipListMap<>();
+    private final Map<Violation, AtomicLong> violations = zeroes(Violation.class);
+    private final Map<Refusal, AtomicLong> refusals = zeroes(Refusal.class);
     private final AtomicLong upstreamRequests = new AtomicLong();
     private final AtomicLong reloads = new AtomicLong();
     private final AtomicLong reloadErrors = new AtomicLong();
-    private volatile Standing standing = new Standing(0, 0, 0, -1, 0);
+    private volatile Standing standing = new Standing(0, 0, 0, -1, 0, 0, 0);
 
     /** These classes are in force; those of earlier settings stay, for their messages may yet end. */
     void inForce(Collection<String> names) {
@@ -39,6 +43,27 @@
         return classes.computeIfAbsent(messageClass, name -> new Ends());
     }
 
+    /** All keys are there from the start: any thread may count. */
+    private static <E extends Enum<E>> Map<E, AtomicLong> zeroes(Class<E> names) {
+        Map<E, AtomicLong> counts = new EnumMap<>(names);
+        for (E name : names.getEnumConstants()) {
+            counts.put(name, new AtomicLong());
+        }
+        return counts;
+    }
+
+    void violated(Violation rule) {
+        violations.get(rule).incrementAndGet();
+    }
+
+    long violations(Violation rule) {
+        return violations.get(rule).get();
+    }
+
+    void refused(Refusal why) {
+        refusals.get(why).incrementAndGet();
+    }
+
     void completed(String messageClass) {
         ends(messageClass).completed.incrementAndGet();
     }
@@ -67,10 +92,13 @@
     /**
      * {@code pending}: taken and not ended; {@code members}: listed endpoints, and those avoided now;
      * {@code version} of the list held, -1 before the first, and {@code faults}: lists that came and could
-     * not be taken in.
+     * not be taken in; {@code journalFailures}: writes of the journal that failed; {@code worstLagMillis}:
+     * the latest that the event loop has been since the start.
      */
-    void stands(int pending, int members, int unavailable, long version, long faults) {
-        standing = new Standing(pending, members, unavailable, version, faults);
+    void stands(int pending, int members, int unavailable, long version, long faults, long journalFailures,
+                long worstLagMillis) {
+        standing = new Standing(pending, members, unavailable, version, faults, journalFailures,
+            worstLagMillis);
     }
 
     byte[] json() {
@@ -87,6 +115,18 @@
             out.writeNumberField("members_unavailable", now.unavailable);
             out.writeNumberField("list_version", now.version);
             out.writeNumberField("list_faults", now.faults);
+            out.writeNumberField("journal_failures", now.journalFailures);
+            out.writeNumberField("event_loop_lag_max_ms", now.worstLagMillis);
+            out.writeObjectFieldStart("refusals");
+            for (Map.Entry<Refusal, AtomicLong> entry : refusals.entrySet()) {
+                out.writeNumberField(entry.getKey().figure(), entry.getValue().get());
+            }
+            out.writeEndObject();
+            out.writeObjectFieldStart("violations");
+            for (Map.Entry<Violation, AtomicLong> entry : violations.entrySet()) {
+                out.writeNumberField(entry.getKey().figure(), entry.getValue().get());
+            }
+            out.writeEndObject();
             out.writeNumberField("config_reloads", reloads.get());
             out.writeNumberField("config_reload_errors", reloadErrors.get());
             out.writeEndObject();
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -465,6 +465,10 @@
             next.begun = true;
             states = null;
             pool.connecting.remove(next);
+            if (!next.host.ready) {
+                figures.violated(Violation.SENT_WHILE_DRAINING);
+                LOG.error("{}: a call to {}", Violation.SENT_WHILE_DRAINING, next.host.name);
+            }
             int messages = next.parts.size();
             // The promise of a write is kept when its last byte has been handed to the socket: from then on
             // the call may run, before that it cannot.
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -31,6 +31,12 @@
     private static final int KNOWLEDGE_PART = 8;
     /** ms between looks at what stands rather than is counted, and at what the module may release. */
     private static final long STAND = 100, RELEASE = 1_000;
+    /** ms past a message's deadline, which lies 300 ms before its client's, by which its end is due. */
+    private static final long END_DUE = 650;
+    /** ms from the start; no end is overdue until 1.5 s after a start is ready. */
+    private static final long AFTER_START = 3_000;
+    /** What becomes of each message, by its id; for staff who follow one through the log. */
+    private static final Logger TRACE = LoggerFactory.getLogger("wrenkeel.trace");
 
     /**
      * How a message handed in was met. A client that could not be told must be reported to {@link #withdraw}.
@@ -88,6 +94,7 @@
     private final long beganAt;
     private final long knowledgeMost;
     private final JournalHealth journalHealth;
+    private final SendGuard guard = new SendGuard();
     private boolean turnDue;
     private boolean stopped;
     private boolean leaving;
@@ -174,8 +181,14 @@
 
     private void stand() {
         lag.tick();
-        int unavailable = control.unavailable() + hosts.draining();
-        figures.stands(journal.size(), hosts.listed(), unavailable, hosts.version(), discovery.faults());
+        try {
+            int unavailable = control.unavailable() + hosts.draining();
+            figures.stands(journal.size(), hosts.listed(), unavailable, hosts.version(), discovery.faults(),
+                journalHealth.failures(), lag.worstMillis());
+        } catch (RuntimeException e) {
+            // Guards the ticks: a periodic task that throws is never run again.
+            LOG.error("figures not brought up to date", e);
+        }
     }
 
     private void release() {
@@ -267,6 +280,8 @@
             h.untried = true;
             takenUp.untried();
         }
+        TRACE.debug("{} taken up, {} attempts, {} ms left", h.message.id(), earlier.size(),
+            h.message.deadline() - clock.millis());
         introduce(h.message.destination());
         tell(accepted(h, true, earlier));
     }
@@ -327,8 +342,11 @@
             answer.taken();
             return;
         }
-        if (known != null || stopped || !journalHealth.isWritable() || open >= settings.allowed().open()) {
+        Refusal refusal = refusal(known);
+        if (refusal != null) {
             figures.rejected(message.messageClass());
+            figures.refused(refusal);
+            TRACE.debug("{} refused: {}", message.id(), refusal);
             answer.refused(COME_BACK);
             return;
         }
@@ -340,6 +358,20 @@
         tell(accepted(h, false, List.of()));
     }
 
+    /** Why a message cannot be taken on now; null if it can, as far as is known before the module's turn. */
+    private Refusal refusal(Held sameId) {
+        if (sameId != null) {
+            return Refusal.ID_IN_USE;
+        }
+        if (stopped) {
+            return Refusal.ENDING;
+        }
+        if (!journalHealth.isWritable()) {
+            return Refusal.FOLDER_FAILS;
+        }
+        return open >= settings.allowed().open() ? Refusal.HOLD_FULL : null;
+    }
+
     /**
      * A client did not hear that its message was taken on: it hands it in anew, and this one counts for
      * nothing, unless it was handed in twice and another client heard.
@@ -348,6 +380,7 @@
         Held h = held.get(id);
         if (h != null && !h.over && --h.told == 0) {
             LOG.info("message {} withdrawn, its client left before the answer", id);
+            TRACE.debug("{} withdrawn", id);
             over(h);
             close(h.entry);
             tell(new Relay.Withdrawn(id));
@@ -402,7 +435,7 @@
         } finally {
             // Guards clients against silence if the turn failed: nothing was written down for these.
             for (String id : List.copyOf(unanswered.keySet())) {
-                refuse(id, unanswered.get(id));
+                refuse(id, unanswered.get(id), Refusal.TURN_FAILED);
             }
         }
     }
@@ -417,11 +450,14 @@
                 Held h = held.get(a.id());
                 over(h);
                 figures.rejected(h.message.messageClass());
+                figures.refused(Refusal.BY_MODULE);
+                TRACE.debug("{} refused: {}", a.id(), Refusal.BY_MODULE);
                 unanswered.remove(a.id()).refused(a.retryAfter());
             } else if (action instanceof Relay.Fail a && unanswered.containsKey(a.id())) {
                 Held h = held.get(a.id());
                 over(h);
                 figures.failed(h.message.messageClass());
+                TRACE.debug("{} failed at once", a.id());
                 unanswered.remove(a.id()).failed();
             }
         }
@@ -433,15 +469,19 @@
                 journalHealth.failed("message " + id + " refused", e);
             }
             if (h.entry == null) {
-                refuse(id, unanswered.get(id));
+                refuse(id, unanswered.get(id),
+                    journalHealth.isWritable() ? Refusal.FOLDER_FULL : Refusal.FOLDER_FAILS);
             } else {
                 h.told++;
+                TRACE.debug("{} taken on, {} ms left", id, h.message.deadline() - clock.millis());
                 unanswered.remove(id).taken();
             }
         }
     }
 
-    private void refuse(String id, Answer answer) {
+    private void refuse(String id, Answer answer, Refusal why) {
+        figures.refused(why);
+        TRACE.debug("{} refused: {}", id, why);
         unanswered.remove(id);
         Held h = held.get(id);
         over(h);
@@ -499,6 +539,10 @@
             ended(h, attempt, host, unsent(Relay.Outcome.NOT_SENT, true));
             return;
         }
+        if (!permitted(h, host)) {
+            ended(h, attempt, host, unsent(Relay.Outcome.NOT_SENT, false));
+            return;
+        }
         if (!writtenDown(h, host)) {
             ended(h, attempt, host, unsent(Relay.Outcome.NOT_JOURNALED, false));
             return;
@@ -507,6 +551,7 @@
             ended(h, attempt, host, unsent(Relay.Outcome.NOT_SENT, false));
             return;
         }
+        TRACE.debug("{} attempt {} to {}", a.id(), attempt, host.name);
         HostPool.Part part = new HostPool.Part(h.message, a.timeout(),
             reply -> ended(h, attempt, host, reply));
         h.calls.set(attempt, part);
@@ -517,6 +562,26 @@
         bundles.computeIfAbsent(host, key -> new Bundle()).add(part);
     }
 
+    private boolean apart(HostList.Host host) {
+        return settings.kinds().get(host.kind).apart();
+    }
+
+    /** What the rules forbid does not go out, whatever was decided. */
+    private boolean permitted(Held h, HostList.Host host) {
+        Violation violation = guard.check(h.entry, h.rules, host, apart(host), clock.millis(), now());
+        if (violation != null) {
+            violated(violation, h.message.id());
+            // It keeps its number.
+            journal.notMade(h.entry, clock.millis(), host.zone);
+        }
+        return violation == null;
+    }
+
+    private void violated(Violation rule, String id) {
+        figures.violated(rule);
+        LOG.error("{}: message {}", rule, id);
+    }
+
     private static HostPool.Reply unsent(Relay.Outcome outcome, boolean over) {
         return new HostPool.Reply(outcome, over, 0, 0, -1, -1);
     }
@@ -545,11 +610,13 @@
             return;
         }
         h.out--;
+        TRACE.debug("{} attempt {} to {} ended: {} after {} us", h.message.id(), attempt, host.name,
+            reply.outcome(), reply.latency());
         if (reply.waitFor() > 0) {
             wait(host, reply.waitFor());
+            guard.heardWait(host, apart(host), now(), reply.waitFor());
             // Guards the rule on waits: calls there that still wait for their connection do not go out.
-            boolean apart = settings.kinds().get(host.kind).apart();
-            (apart ? List.of(host) : hosts.hostsOf(host.destination)).forEach(pool::takeBack);
+            (apart(host) ? List.of(host) : hosts.hostsOf(host.destination)).forEach(pool::takeBack);
         }
         boolean over = h.over || reply.over();
         if (!h.over) {
@@ -619,6 +686,11 @@
     }
 
     private void end(Journal.Entry entry, Journal.End end) {
+        TRACE.debug("{} end decided: {}, {} ms left", entry.message.id(), end,
+            entry.message.deadline() - clock.millis());
+        if (entry.end != null) {
+            violated(Violation.ENDED_TWICE, entry.message.id());
+        }
         try {
             journal.ended(entry, end);
         } catch (IOException e) {
@@ -647,6 +719,11 @@
 
     /** The platform has the end of a message. */
     private void noticed(Journal.Entry entry) {
+        long late = clock.millis() - entry.message.deadline();
+        TRACE.debug("{} end acknowledged, {} ms left", entry.message.id(), -late);
+        if (late > END_DUE && clock.millis() - beganAt > AFTER_START) {
+            violated(Violation.ENDED_LATE, entry.message.id());
+        }
         if (entry.end.handedBack()) {
             figures.rejected(entry.message.messageClass());
         } else {
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -171,7 +171,7 @@
                 reserved.close();
             }
         }
-        server.serve(loop);
+        server.serve(loop, figures);
         journal.takenOver();
         serving = true;
         ready = true;
--- a/src/main/java/wrenkeel/net/RequestSequencer.java
+++ b/src/main/java/wrenkeel/net/RequestSequencer.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -23,6 +24,13 @@
     /** A whole request was passed on and its response has not been written. */
     private boolean responseOwed;
     private boolean closing;
+    private boolean peerGone;
+    private final Runnable whenCutOff;
+
+    /** {@code whenCutOff}: run when this side closes the connection with a whole request on it unanswered. */
+    RequestSequencer(Runnable whenCutOff) {
+        this.whenCutOff = whenCutOff;
+    }
 
     /** Whether further requests of this connection, or parts of one, have been read already. */
     boolean holdsRequests() {
@@ -88,10 +96,19 @@
 
     @Override
     public void close(ChannelHandlerContext context, ChannelPromise promise) {
+        if (responseOwed && !peerGone && context.channel().isActive()) {
+            whenCutOff.run();
+        }
         stopPassingOn();
         context.close(promise);
     }
 
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        peerGone |= cause instanceof IOException;
+        context.fireExceptionCaught(cause);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         stopPassingOn();
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -54,6 +54,8 @@
     /** Null until the relay serves. */
     private Loop loop;
     private boolean notServingYet;
+    /** Null until the relay serves. */
+    private Figures figures;
     private final long lingerMillis;
     private final ThrottledLog turnedAway = new ThrottledLog(LOG);
     private boolean leaving;
@@ -70,7 +72,8 @@
     @Override
     protected void initChannel(Channel channel) {
         channel.pipeline().addLast(new SocketReader(clients), new LingeringClose(clients, lingerMillis),
-            new RequestDecoder(), new HttpResponseEncoder(), new RequestSequencer(), new RequestAggregator(),
+            new RequestDecoder(), new HttpResponseEncoder(), new RequestSequencer(this::cutOff),
+            new RequestAggregator(),
             new RequestDeadline(clients, REQUEST_WITHIN), new Requests());
     }
 
@@ -80,8 +83,9 @@
     }
 
     /** From now on messages go to this relay's loop. */
-    void serve(Loop relay) {
+    void serve(Loop relay, Figures counts) {
         loop = relay;
+        figures = counts;
         notServingYet = false;
     }
 
@@ -163,6 +167,13 @@
         }
     }
 
+    private void cutOff() {
+        if (figures != null) {
+            figures.violated(Violation.CLOSED_UNANSWERED);
+        }
+        LOG.error("{}", Violation.CLOSED_UNANSWERED);
+    }
+
     private void logTurnedAway(ChannelHandlerContext context, HttpResponseStatus status, String fault) {
         turnedAway.warn(context.executor(), "request turned away: " + status.code() + " " + fault);
     }
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -53,6 +53,7 @@
 
     private void call(HostPool pool, int port, HostPool.Part... parts) throws Exception {
         listed.dial = new InetSocketAddress(Platform.LOOPBACK, port);
+        listed.ready = true;
         group.next().submit(() -> pool.call(listed, List.of(parts))).get();
     }
 
@@ -111,6 +112,7 @@
     private void callOther(HostPool pool, int number, Host host, HostPool.Part part) throws Exception {
         HostList.Host other = new HostList.Host(number, "s-" + number);
         other.dial = new InetSocketAddress(Platform.LOOPBACK, host.port());
+        other.ready = true;
         group.next().submit(() -> pool.call(other, List.of(part))).get();
     }
 
--- /dev/null
+++ b/src/test/java/wrenkeel/net/SendGuardTest.java
@@ -0,0 +1,91 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wrenkeel.Relay;
+
+/** Whatever was decided, the guard lets nothing out that the rules forbid. */
+class SendGuardTest {
+    private static final long NOW_MS = 1_800_000_000_000L, NOW_US = 50_000_000, SECOND_US = 1_000_000;
+
+    @TempDir
+    Path folder;
+    private Journal journal;
+    private final SendGuard guard = new SendGuard();
+    private final HostList.Host host = host(1, 0), sibling = host(2, 1);
+
+    private static HostList.Host host(long number, int zone) {
+        HostList.Host host = new HostList.Host(number, "s-" + number);
+        host.destination = 7;
+        host.zone = zone;
+        return host;
+    }
+
+    @BeforeEach
+    void begin() throws IOException {
+        journal = new Journal(folder, 3_000_000);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        journal.close();
+    }
+
+    private static Relay.MessageClass rules(Relay.Effect effect, boolean zoneGroup) {
+        return new Relay.MessageClass("c", 2_000_000, 16_000_000, 1, 0, effect, zoneGroup, 3 * SECOND_US, false, 12);
+    }
+
+    private Journal.Entry entry(Relay.MessageClass rules) throws IOException {
+        return journal.take(new Message("a", "c", 0, null, "key", 7, NOW_MS + 10_000, new byte[3]), rules);
+    }
+
+    private Violation check(Journal.Entry entry, Relay.MessageClass rules, HostList.Host to, long laterMillis) {
+        return guard.check(entry, rules, to, false, NOW_MS + laterMillis, NOW_US + laterMillis * 1_000);
+    }
+
+    @Test
+    void nothingGoesOutAfterTheDeadline() throws IOException {
+        Relay.MessageClass safe = rules(Relay.Effect.SAFE, false);
+        Journal.Entry entry = entry(safe);
+        assertNull(check(entry, safe, host, 10_000));
+        assertEquals(Violation.SENT_AFTER_DEADLINE, check(entry, safe, host, 10_001));
+    }
+
+    @Test
+    void anUnsafeMessageIsRepeatedOnlyIfItNeverRan() throws IOException {
+        Relay.MessageClass unsafe = rules(Relay.Effect.UNSAFE, false);
+        Journal.Entry entry = entry(unsafe);
+        journal.sent(entry, NOW_MS, 0);
+        assertEquals(Violation.REPEATED_OUTSIDE_ALLOWANCE, check(entry, unsafe, host, 1));
+        journal.notRun(entry, 0);
+        assertNull(check(entry, unsafe, host, 1));
+    }
+
+    @Test
+    void aKeyedMessageIsRepeatedInItsWindowAndGroup() throws IOException {
+        Relay.MessageClass keyed = rules(Relay.Effect.KEYED, true);
+        Journal.Entry entry = entry(keyed);
+        journal.sent(entry, NOW_MS, 0);
+        assertNull(check(entry, keyed, host, 2_900));
+        assertEquals(Violation.REPEATED_OUTSIDE_ALLOWANCE, check(entry, keyed, sibling, 2_900));
+        assertEquals(Violation.REPEATED_OUTSIDE_ALLOWANCE, check(entry, keyed, host, 3_100));
+    }
+
+    @Test
+    void aWaitBindsTheWholeDestinationUntilItIsOver() throws IOException {
+        Relay.MessageClass safe = rules(Relay.Effect.SAFE, false);
+        Journal.Entry entry = entry(safe);
+        guard.heardWait(host, false, NOW_US, SECOND_US);
+        assertNull(check(entry, safe, sibling, 50), "it may have been on its way");
+        assertEquals(Violation.SENT_WITHIN_WAIT, check(entry, safe, sibling, 500));
+        guard.heardWait(host, false, NOW_US, SECOND_US / 10);
+        assertEquals(Violation.SENT_WITHIN_WAIT, check(entry, safe, host, 500), "the longer one binds");
+        assertNull(check(entry, safe, host, 1_000));
+    }
+}
--- a/src/test/java/wrenkeel/net/ServerConnectionTest.java
+++ b/src/test/java/wrenkeel/net/ServerConnectionTest.java
@@ -57,7 +57,7 @@
                     whenNoticed));
             loop.start(config.known());
             server = new Server(new Callers(10));
-            server.serve(loop);
+            server.serve(loop, figures);
         });
     }
 
