Let the stand-ins tell an observer of each message, call and delivery

Mechanical, for the soak: what stand-in clients and destinations count can be heard message by message, a relay process takes further environment, signals and another agent at a reload; the parts that another package needs are public.

--- a/src/main/java/wrenkeel/scale/Deliveries.java
+++ b/src/main/java/wrenkeel/scale/Deliveries.java
@@ -8,7 +8,7 @@
  * destinations, by any thread; only messages from {@code first} on count, and once {@link #until} is called
  * only those before its number.
  */
-final class Deliveries {
+final class Deliveries implements CallObserver {
     /** us; the longest time told apart, far past any message's life. */
     private static final long LONGEST = 3_600_000_000L;
 
@@ -28,6 +28,16 @@
         end = sequence;
     }
 
+    @Override
+    public void called(int endpoint, MessageId id, EndpointModel.Verdict verdict, long nowNanos) {
+        called(id, nowNanos);
+    }
+
+    @Override
+    public void delivered(int endpoint, MessageId id, long nowNanos) {
+        delivered(id, nowNanos);
+    }
+
     /** The last byte of a call with the message has come; the first such call is timed. */
     synchronized void called(MessageId id, long nowNanos) {
         if (counts(id) && !called.get(index(id))) {
--- a/src/main/java/wrenkeel/scale/EndpointModel.java
+++ b/src/main/java/wrenkeel/scale/EndpointModel.java
@@ -6,25 +6,25 @@
  * How one endpoint answers calls: after a latency, within a limit on calls per span, cold after an outage. It
  * opens no socket and reads no clock; times are nanoseconds of one clock that does not go back. One thread.
  */
-final class EndpointModel {
+public final class EndpointModel {
     /** What an endpoint does with calls: answers them, takes them and stays silent, or has no listener. */
-    enum Standing { SERVING, SILENT, REFUSING }
+    public enum Standing { SERVING, SILENT, REFUSING }
 
     /**
      * @param medianMicros median time from a call's last byte to its answer
      * @param sigma standard deviation of that time's logarithm; 0 for a fixed time
      */
-    record Behaviour(long medianMicros, double sigma, Limit limit, Cold cold) {
+    public record Behaviour(long medianMicros, double sigma, Limit limit, Cold cold) {
         /** An endpoint without a limit that answers after a time of this median. */
-        static Behaviour unlimited(long medianMicros, double sigma) {
+        public static Behaviour unlimited(long medianMicros, double sigma) {
             return new Behaviour(medianMicros, sigma, Limit.NONE, Cold.NONE);
         }
 
-        Behaviour with(Limit other) {
+        public Behaviour with(Limit other) {
             return new Behaviour(medianMicros, sigma, other, cold);
         }
 
-        Behaviour with(Cold other) {
+        public Behaviour with(Cold other) {
             return new Behaviour(medianMicros, sigma, limit, other);
         }
     }
@@ -35,7 +35,7 @@
      * @param tellsWait refused calls get 429 with Retry-After until the span's end, else 503
      * @param countsRefused refused calls use up the next span's limit as if they had been taken
      */
-    record Limit(double calls, long spanMillis, boolean tellsWait, boolean countsRefused) {
+    public record Limit(double calls, long spanMillis, boolean tellsWait, boolean countsRefused) {
         static final Limit NONE = new Limit(0, 1_000, false, false);
     }
 
@@ -48,7 +48,7 @@
      * @param tipMillis span over which its calls are counted for that
      * @param downMillis length of the outage that a fall begins; it takes calls and stays silent
      */
-    record Cold(double from, long millis, double fallMultiple, long tipMillis, long downMillis) {
+    public record Cold(double from, long millis, double fallMultiple, long tipMillis, long downMillis) {
         static final Cold NONE = new Cold(1, 0, 0, 1_000, 0);
     }
 
@@ -57,7 +57,7 @@
      * @param delayNanos time until the answer is written
      * @param waitMillis wait to be told with it; 0 for none
      */
-    record Verdict(int status, long delayNanos, long waitMillis) { }
+    public record Verdict(int status, long delayNanos, long waitMillis) { }
 
     private static final long MS = 1_000_000;
     private static final Verdict SILENCE = new Verdict(0, 0, 0);
--- a/src/main/java/wrenkeel/scale/HostCatalog.java
+++ b/src/main/java/wrenkeel/scale/HostCatalog.java
@@ -20,7 +20,7 @@
  * changed since. Only what changed is held by the entry; all else is worked out from the number. Any thread
  * may call.
  */
-final class HostCatalog {
+public final class HostCatalog {
     /** Two regions with five zones. */
     static final List<String> ZONES = List.of("a1", "a2", "a3", "b1", "b2");
     static final List<String> KINDS = List.of("m1", "m2");
@@ -32,7 +32,7 @@
     private static final int SPREAD = 0x9E3779B1;
 
     /** The standing of one host. */
-    enum Health {
+    public enum Health {
         READY, DRAINING, GONE;
 
         String word() {
@@ -66,7 +66,7 @@
     /**
      * @param dials the address and port of each host
      */
-    HostCatalog(int hosts, long seed, IntFunction<String> dials) {
+    public HostCatalog(int hosts, long seed, IntFunction<String> dials) {
         this.hosts = hosts;
         this.dials = dials;
         salt = new Random(seed).nextInt();
@@ -77,24 +77,24 @@
     }
 
     /** How many hosts there are, those that are gone included. */
-    int size() {
+    public int size() {
         return hosts;
     }
 
-    int destinations() {
+    public int destinations() {
         return hosts == 0 ? 0 : destination(hosts - 1) + 1;
     }
 
     /** The number of a host's destination. */
-    static int destination(int host) {
+    public static int destination(int host) {
         return (int) (host * 10L / 17);
     }
 
-    String name(int host) {
+    public String name(int host) {
         return String.format(Locale.ROOT, "s-%08x", host * SPREAD + salt);
     }
 
-    synchronized long version() {
+    public synchronized long version() {
         return version;
     }
 
@@ -104,7 +104,7 @@
     }
 
     /** Changes the standing of one host; the list's new version. */
-    synchronized long change(int host, Health health) {
+    public synchronized long change(int host, Health health) {
         Changed before = standing(host);
         // One that comes back has started anew.
         long born = before.health == Health.GONE && health != Health.GONE ? System.currentTimeMillis()
--- a/src/main/java/wrenkeel/scale/MessageId.java
+++ b/src/main/java/wrenkeel/scale/MessageId.java
@@ -7,13 +7,13 @@
  * @param sequence place among all messages of the run, from 0, in the order in which they were due
  * @param dueNanos when it was to be handed in, by {@link System#nanoTime}
  */
-record MessageId(long sequence, long dueNanos) {
-    String text() {
+public record MessageId(long sequence, long dueNanos) {
+    public String text() {
         return Long.toHexString(sequence) + "-" + Long.toHexString(dueNanos);
     }
 
     /** Null for an id that no stand-in client has written. */
-    static MessageId parse(String text) {
+    public static MessageId parse(String text) {
         int dash = text == null ? -1 : text.indexOf('-');
         if (dash < 1) {
             return null;
--- a/src/main/java/wrenkeel/scale/RelayProcess.java
+++ b/src/main/java/wrenkeel/scale/RelayProcess.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
@@ -23,7 +24,7 @@
  * temporary folder of its own that is deleted at the end. At most one process at a time; it dies with this
  * JVM. Not for several threads.
  */
-final class RelayProcess implements AutoCloseable {
+public final class RelayProcess implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"");
     /** With what follows the port: a line may be half written. */
     private static final Pattern SERVING = Pattern.compile("serving on \\S*?:(\\d+)\\D"),
@@ -35,6 +36,7 @@
     private final Path folder;
     private final RelaySettings settings;
     private final InetSocketAddress agent;
+    private final Map<String, String> environment;
     private final Thread atExit = new Thread(this::remove, "end of a relay");
     private Process process;
     private ProcessStats stats;
@@ -50,9 +52,16 @@
      */
     RelayProcess(Path root, RelaySettings settings, InetSocketAddress agent, byte[] known)
         throws IOException {
+        this(root, settings, agent, known, Map.of());
+    }
+
+    /** {@code environment}: further variables that the process is started with. */
+    public RelayProcess(Path root, RelaySettings settings, InetSocketAddress agent, byte[] known,
+                        Map<String, String> environment) throws IOException {
         this.root = root;
         this.settings = settings;
         this.agent = agent;
+        this.environment = environment;
         folder = Files.createTempDirectory("scale-relay");
         Files.createDirectory(folder.resolve("state"));
         Files.createDirectory(folder.resolve("tmp"));
@@ -63,7 +72,7 @@
     /**
      * Starts the process, or one more after the last has ended; the lasting folder is kept. Does not wait.
      */
-    void start() throws IOException {
+    public void start() throws IOException {
         if (process != null && process.isAlive()) {
             throw new IllegalStateException("process " + process.pid() + " runs");
         }
@@ -75,6 +84,7 @@
             "EDGE_CONSOLE", "127.0.0.1:0", "EDGE_DISCOVERY", RelayConfig.text(agent),
             "EDGE_STATE", state().toString(), "EDGE_CONFIG", folder.resolve("config.json").toString(),
             "TMPDIR", folder.resolve("tmp").toString()));
+        run.environment().putAll(environment);
         process = run.start();
         stats = new ProcessStats(process.pid());
     }
@@ -93,25 +103,25 @@
     }
 
     /** What the latest process has written so far. */
-    String log() throws IOException {
+    public String log() throws IOException {
         return starts == 0 ? "" : Files.readString(log(starts));
     }
 
     /** The folder that lasts. */
-    Path state() {
+    public Path state() {
         return folder.resolve("state");
     }
 
-    long pid() {
+    public long pid() {
         return process.pid();
     }
 
-    boolean alive() {
+    public boolean alive() {
         return process != null && process.isAlive();
     }
 
     /** Waits until the process serves clients; false where it does not in time. */
-    boolean awaitServing(Duration atMost) throws IOException, InterruptedException {
+    public boolean awaitServing(Duration atMost) throws IOException, InterruptedException {
         if (!awaitConsole(atMost)) {
             return false;
         }
@@ -148,7 +158,7 @@
     }
 
     /** Where clients connect, once it serves. */
-    InetSocketAddress clients() {
+    public InetSocketAddress clients() {
         return clients;
     }
 
@@ -158,7 +168,7 @@
     }
 
     /** The figures of the console. */
-    Wire.Fields telemetry() throws IOException {
+    public Wire.Fields telemetry() throws IOException {
         HttpURLConnection call = call("telemetry");
         try (InputStream answer = call.getInputStream()) {
             return Wire.decode(new String(answer.readAllBytes(), StandardCharsets.UTF_8));
@@ -228,7 +238,7 @@
     }
 
     /** Resident memory, bytes. */
-    long rssBytes() throws IOException {
+    public long rssBytes() throws IOException {
         return stats.rssBytes();
     }
 
@@ -238,7 +248,7 @@
     }
 
     /** SIGKILL; returns once the process has ended. */
-    void kill() throws InterruptedException {
+    public void kill() throws InterruptedException {
         process.destroyForcibly();
         process.waitFor();
     }
@@ -251,9 +261,27 @@
         }
     }
 
+    /** Writes the configuration anew with another address of discovery, then SIGHUP. */
+    public void reload(InetSocketAddress otherAgent) throws IOException, InterruptedException {
+        Path draft = folder.resolve("config.new");
+        RelayConfig.write(draft, settings, otherAgent, null);
+        Files.move(draft, folder.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE);
+        reload();
+    }
+
+    /** Sends a signal by its name, such as STOP. */
+    public void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
+    }
+
+    /** SIGTERM; does not wait. */
+    public void beginEnd() {
+        process.destroy();
+    }
+
     /** SIGHUP: the configuration is read anew. */
     void reload() throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-HUP", Long.toString(pid())).start().waitFor();
+        signal("HUP");
     }
 
     /** Ends the process and deletes its folder. */
--- a/src/main/java/wrenkeel/scale/RelaySettings.java
+++ b/src/main/java/wrenkeel/scale/RelaySettings.java
@@ -8,7 +8,7 @@
  * limits. {@code zones} and {@code kinds} are those that a {@link HostCatalog} names; {@code slots} is how
  * many calls may be out at once, {@code open} how many messages may be held.
  */
-record RelaySettings(String name, String seed, int relays, double cores, int memoryMb, int sockets,
+public record RelaySettings(String name, String seed, int relays, double cores, int memoryMb, int sockets,
                      double diskMb, List<String> zones, List<String> kinds, List<Profile> profiles,
                      int slots, int open, List<Tenant> tenants) {
 
@@ -16,35 +16,41 @@
      * A class of messages: times in milliseconds; semantics {@code retryable}, {@code dedup} or {@code
      * fragile}.
      */
-    record Profile(String name, long aim, long hardLimit, String semantics, long window) { }
+    public record Profile(String name, long aim, long hardLimit, String semantics, long window) { }
 
     /** A client whose messages count in full up to a rate over all relays. */
-    record Tenant(String name, double quotaPerSecond) { }
+    public record Tenant(String name, double quotaPerSecond) { }
 
     /** A relay of a fleet of 2,300, with the limits of the deployment and one class of each sort. */
-    static RelaySettings typical(String name) {
+    public static RelaySettings typical(String name) {
         return new RelaySettings(name, "8c1f30d27a5be964", 2_300, 1, 192, 1_024, 3, HostCatalog.ZONES,
             HostCatalog.KINDS, List.of(new Profile("notice", 2_000, 16_000, "dedup", 15_000),
                 new Profile("query", 1_000, 4_000, "retryable", 0),
                 new Profile("order", 2_000, 16_000, "fragile", 0)), 64, 1_000, List.of());
     }
 
-    RelaySettings withRelays(int count) {
+    /** The same under another name. */
+    public RelaySettings named(String other) {
+        return new RelaySettings(other, seed, relays, cores, memoryMb, sockets, diskMb, zones, kinds,
+            profiles, slots, open, tenants);
+    }
+
+    public RelaySettings withRelays(int count) {
         return new RelaySettings(name, seed, count, cores, memoryMb, sockets, diskMb, zones, kinds, profiles,
             slots, open, tenants);
     }
 
-    RelaySettings withProfiles(List<Profile> classes) {
+    public RelaySettings withProfiles(List<Profile> classes) {
         return new RelaySettings(name, seed, relays, cores, memoryMb, sockets, diskMb, zones, kinds, classes,
             slots, open, tenants);
     }
 
-    RelaySettings withDisk(double megabytes) {
+    public RelaySettings withDisk(double megabytes) {
         return new RelaySettings(name, seed, relays, cores, memoryMb, sockets, megabytes, zones, kinds,
             profiles, slots, open, tenants);
     }
 
-    RelaySettings withCalls(int slotCount, int openMost) {
+    public RelaySettings withCalls(int slotCount, int openMost) {
         return new RelaySettings(name, seed, relays, cores, memoryMb, sockets, diskMb, zones, kinds, profiles,
             slotCount, openMost, tenants);
     }
--- a/src/main/java/wrenkeel/scale/Shutdown.java
+++ b/src/main/java/wrenkeel/scale/Shutdown.java
@@ -4,19 +4,19 @@
 import java.util.concurrent.TimeUnit;
 
 /** Ends event loops without the quiet time that Netty keeps by default. */
-final class Shutdown {
+public final class Shutdown {
     private static final long MOST = 2_000;
 
     private Shutdown() { }
 
     /** Closes what the loops hold and waits for their ends, for 2 s at most. */
-    static void now(EventLoopGroup loops) {
+    public static void now(EventLoopGroup loops) {
         begin(loops);
         loops.terminationFuture().awaitUninterruptibly(MOST);
     }
 
     /** The same without waiting. */
-    static void begin(EventLoopGroup loops) {
+    public static void begin(EventLoopGroup loops) {
         loops.shutdownGracefully(0, MOST, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/wrenkeel/scale/StandInAgent.java
+++ b/src/main/java/wrenkeel/scale/StandInAgent.java
@@ -49,7 +49,7 @@
  * The platform's agent, played on a free port of loopback: gives a catalog's list whole or as a watch, and
  * takes notices. It has one thread. Counts, which any thread may read, begin with the agent.
  */
-final class StandInAgent implements AutoCloseable {
+public final class StandInAgent implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(StandInAgent.class);
     /**
      * Connections at once, those of a fleet behind one agent; bytes of one call; ms that a watch may wait.
@@ -95,7 +95,7 @@
     }
 
     /** {@code whenNoticed} gets each line of a notice, on the agent's thread. */
-    StandInAgent(HostCatalog catalog, Consumer<String> whenNoticed) throws InterruptedException {
+    public StandInAgent(HostCatalog catalog, Consumer<String> whenNoticed) throws InterruptedException {
         this.catalog = catalog;
         this.whenNoticed = whenNoticed;
         listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
@@ -115,7 +115,7 @@
             }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) listener.localAddress();
     }
 
@@ -124,7 +124,7 @@
     }
 
     /** Changes the standing of one host and answers the watches that wait; the list's new version. */
-    long change(int host, HostCatalog.Health health) {
+    public long change(int host, HostCatalog.Health health) {
         return made(catalog.change(host, health));
     }
 
--- a/src/main/java/wrenkeel/scale/StandInClients.java
+++ b/src/main/java/wrenkeel/scale/StandInClients.java
@@ -37,7 +37,7 @@
  * (an open loop, Poisson arrivals), and each time counts from when the message was due. Connections are kept
  * and carry one request at a time; when all are busy another is opened. All state belongs to one event loop.
  */
-final class StandInClients implements AutoCloseable {
+public final class StandInClients implements AutoCloseable {
     /** ms that a client waits for its answer. */
     static final long PATIENCE = 400;
     private static final int ANSWER_MOST = 64 * 1024;
@@ -48,6 +48,7 @@
     private final Bootstrap bootstrap;
     private final InetSocketAddress relay;
     private final long patience;
+    private final ClientObserver observer;
     private final Traffic traffic;
     private final SplittableRandom random;
     private final ZipfSampler destinations;
@@ -68,7 +69,15 @@
 
     /** {@code patience}: ms that they wait for an answer. */
     StandInClients(InetSocketAddress relay, Traffic traffic, long seed, long patience) {
+        this(relay, traffic, seed, patience, 0, ClientObserver.NONE);
+    }
+
+    /** {@code firstSequence}: of their first message; {@code observer}: hears of each message. */
+    public StandInClients(InetSocketAddress relay, Traffic traffic, long seed, long patience,
+                          long firstSequence, ClientObserver observer) {
         this.patience = patience;
+        this.sequence = firstSequence;
+        this.observer = observer;
         this.relay = relay;
         this.traffic = traffic;
         random = new SplittableRandom(seed);
@@ -89,7 +98,7 @@
     }
 
     /** From now on so many messages a second come; with 0 none. */
-    void rate(double perSecond) throws InterruptedException {
+    public void rate(double perSecond) throws InterruptedException {
         inLoop(() -> {
             if (arrival != null) {
                 arrival.cancel(false);
@@ -173,7 +182,7 @@
     private void open(Handed handed) {
         handed.awaitAnswer();
         if (connections >= traffic.mostConnections()) {
-            handed.end(handed.tally::notSent);
+            handed.end(handed.tally::notSent, ClientObserver.Ending.NOT_SENT, 0);
             return;
         }
         connections++;
@@ -181,7 +190,7 @@
         bootstrap.connect(relay).addListener((ChannelFuture done) -> {
             if (!done.isSuccess()) {
                 connections--;
-                handed.end(handed.tally::brokenOff);
+                handed.end(handed.tally::brokenOff, ClientObserver.Ending.BROKEN_OFF, 0);
             } else {
                 Connection c = done.channel().pipeline().get(Connection.class);
                 done.channel().closeFuture().addListener(closed -> connections--);
@@ -198,6 +207,7 @@
         Connection connection;
         private Future<?> timer;
         private boolean ended;
+        private boolean written;
 
         Handed(MessageId id, Tally tally) {
             this.id = id;
@@ -211,15 +221,16 @@
                     if (connection != null) {
                         connection.channel.close();
                     }
-                }), patience, TimeUnit.MILLISECONDS);
+                }, ClientObserver.Ending.NO_ANSWER, 0), patience, TimeUnit.MILLISECONDS);
             }
         }
 
-        void end(Runnable how) {
+        void end(Runnable how, ClientObserver.Ending ending, int status) {
             if (!ended) {
                 ended = true;
                 timer.cancel(false);
                 how.run();
+                observer.ended(id, ending, status, written);
             }
         }
     }
@@ -228,11 +239,13 @@
         Traffic.ClassShare kind = traffic.classes().get(draw(classShares));
         String tenant = tenantShares.length == 0 ? null : traffic.tenants().get(draw(tenantShares)).name();
         ByteBuf content = Unpooled.wrappedBuffer(body);
+        int destination = destinations.next(random);
+        observer.handedIn(id, kind, destination);
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
             "/" + kind.name(), content);
         request.headers().set(HttpHeaderNames.HOST, "api.internal").set("X-Request-ID", id.text())
             .set("X-Priority-Class", kind.name()).set("X-Timeout-Ms", kind.lifeMillis())
-            .set("X-Envelope", "dest=" + destinations.next(random))
+            .set("X-Envelope", "dest=" + destination)
             .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         if (kind.keyed()) {
             request.headers().set("Idempotency-Key", "key-" + id.text());
@@ -272,7 +285,9 @@
             reused = again;
             handed.connection = this;
             handed.awaitAnswer();
-            channel.writeAndFlush(handed.request.retainedDuplicate());
+            handed.written = false;
+            channel.writeAndFlush(handed.request.retainedDuplicate())
+                .addListener(done -> handed.written |= done.isSuccess());
         }
 
         @Override
@@ -284,7 +299,8 @@
                 return;
             }
             long micros = (System.nanoTime() - handed.id.dueNanos()) / 1_000;
-            handed.end(() -> handed.tally.answered(answer.status().code(), micros));
+            int status = answer.status().code();
+            handed.end(() -> handed.tally.answered(status, micros), ClientObserver.Ending.ANSWERED, status);
             if (HttpUtil.isKeepAlive(answer)) {
                 idle.addLast(this);
             } else {
@@ -304,7 +320,7 @@
                 // The relay closed an idle connection that this request was on its way on: once more.
                 open(handed);
             } else {
-                handed.end(handed.tally::brokenOff);
+                handed.end(handed.tally::brokenOff, ClientObserver.Ending.BROKEN_OFF, 0);
             }
         }
 
--- a/src/main/java/wrenkeel/scale/StandInDestinations.java
+++ b/src/main/java/wrenkeel/scale/StandInDestinations.java
@@ -48,7 +48,7 @@
  * the wire names a destination, so the dials of thousands of hosts may share a few ports, and then share
  * limit and standing too: what is to be told apart needs a port of its own.
  */
-final class StandInDestinations implements AutoCloseable {
+public final class StandInDestinations implements AutoCloseable {
     /** Bytes of a call's body at most. */
     private static final int BODY_MOST = 64 * 1024;
     private static final int BACKLOG = 1_024;
@@ -56,12 +56,14 @@
 
     /** One port. */
     private static final class Endpoint {
+        final int number;
         final EndpointModel model;
         final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         Channel listener;
         int port;
 
-        Endpoint(EndpointModel model) {
+        Endpoint(int number, EndpointModel model) {
+            this.number = number;
             this.model = model;
         }
     }
@@ -77,7 +79,7 @@
     private final LongAdder turnedAway = new LongAdder();
     private final LongAdder abandoned = new LongAdder();
     private final LongAdder malformed = new LongAdder();
-    private volatile Deliveries deliveries = new Deliveries(Long.MAX_VALUE);
+    private volatile CallObserver observer = new Deliveries(Long.MAX_VALUE);
 
     /**
      * Opens the ports.
@@ -89,14 +91,14 @@
      * @param seed for the times of answers
      * @param clock nanoseconds, the one by which message ids are written
      */
-    StandInDestinations(int ports, EndpointModel.Behaviour behaviour, int bundleMost, int threads, long seed,
-                        LongSupplier clock) throws InterruptedException {
+    public StandInDestinations(int ports, EndpointModel.Behaviour behaviour, int bundleMost, int threads,
+                               long seed, LongSupplier clock) throws InterruptedException {
         this.bundleMost = bundleMost;
         this.clock = clock;
         group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
         try {
             for (int i = 0; i < ports; i++) {
-                Endpoint endpoint = new Endpoint(new EndpointModel(behaviour, seed * 1_000_003 + i));
+                Endpoint endpoint = new Endpoint(i, new EndpointModel(behaviour, seed * 1_000_003 + i));
                 endpoints.add(endpoint);
                 listen(endpoint);
             }
@@ -123,12 +125,12 @@
     }
 
     /** The ports, in the order in which endpoints are numbered from 0. */
-    List<Integer> ports() {
+    public List<Integer> ports() {
         return endpoints.stream().map(endpoint -> endpoint.port).toList();
     }
 
     /** From now on an endpoint answers like this. */
-    void behave(int number, EndpointModel.Behaviour behaviour) {
+    public void behave(int number, EndpointModel.Behaviour behaviour) {
         EndpointModel model = endpoints.get(number).model;
         synchronized (model) {
             model.behave(behaviour);
@@ -136,7 +138,7 @@
     }
 
     /** Begins or ends an outage of an endpoint. One that refuses has no listener, and its connections end. */
-    void stand(int number, EndpointModel.Standing standing) throws InterruptedException {
+    public void stand(int number, EndpointModel.Standing standing) throws InterruptedException {
         Endpoint endpoint = endpoints.get(number);
         EndpointModel.Standing before;
         synchronized (endpoint.model) {
@@ -152,16 +154,16 @@
     }
 
     /** For so long an endpoint turns all calls away and tells each to wait until the end of that. */
-    void shut(int number, long millis) {
+    public void shut(int number, long millis) {
         EndpointModel model = endpoints.get(number).model;
         synchronized (model) {
             model.shutUntil(clock.getAsLong() + millis * 1_000_000);
         }
     }
 
-    /** From now on deliveries are told to this one. */
-    void report(Deliveries to) {
-        deliveries = to;
+    /** From now on calls and deliveries are told to this one. */
+    public void report(CallObserver to) {
+        observer = to;
     }
 
     /** Calls whose last byte has come. */
@@ -180,7 +182,7 @@
     }
 
     /** Calls answered with 400, 404 or 413, which no relay should see. */
-    long malformed() {
+    public long malformed() {
         return malformed.sum();
     }
 
@@ -237,12 +239,12 @@
             }
             long now = clock.getAsLong();
             calls.increment();
-            Deliveries tellTo = deliveries;
-            ids.forEach(id -> tellTo.called(MessageId.parse(id), now));
             EndpointModel.Verdict verdict;
             synchronized (endpoint.model) {
                 verdict = endpoint.model.call(now);
             }
+            CallObserver tellTo = observer;
+            ids.forEach(id -> tellTo.called(endpoint.number, MessageId.parse(id), verdict, now));
             if (verdict.status() == 200) {
                 byte[] body = bundle ? states(ids) : new byte[0];
                 context.executor().schedule(() -> accept(context, ids, body, keep), verdict.delayNanos(),
@@ -264,8 +266,8 @@
             } else if (serves) {
                 respond(context, HttpResponseStatus.OK, 0, body, keep);
                 long now = clock.getAsLong();
-                Deliveries tellTo = deliveries;
-                ids.forEach(id -> tellTo.delivered(MessageId.parse(id), now));
+                CallObserver tellTo = observer;
+                ids.forEach(id -> tellTo.delivered(endpoint.number, MessageId.parse(id), now));
             }
         }
 
--- a/src/main/java/wrenkeel/scale/TimeLimit.java
+++ b/src/main/java/wrenkeel/scale/TimeLimit.java
@@ -6,14 +6,14 @@
 import java.util.concurrent.TimeUnit;
 
 /** Ends this JVM, with the processes that it started, once a run has lasted too long. */
-final class TimeLimit {
+public final class TimeLimit {
     /** The exit code then. */
     private static final int EXCEEDED = 3;
 
     private TimeLimit() { }
 
     /** Runs an experiment that may last so long. */
-    static int within(long seconds, Callable<Integer> run) throws Exception {
+    public static int within(long seconds, Callable<Integer> run) throws Exception {
         ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "time limit");
             thread.setDaemon(true);
--- a/src/main/java/wrenkeel/scale/Traffic.java
+++ b/src/main/java/wrenkeel/scale/Traffic.java
@@ -12,13 +12,13 @@
  * @param tenants in the same way
  * @param mostConnections held at once; a message that finds all busy is counted as not sent
  */
-record Traffic(int destinations, double exponent, int bodyBytes, List<ClassShare> classes,
+public record Traffic(int destinations, double exponent, int bodyBytes, List<ClassShare> classes,
                List<TenantShare> tenants, int mostConnections) {
     /**
      * @param lifeMillis sent as X-Timeout-Ms
      * @param keyed whether each message has an idempotency key of its own
      */
-    record ClassShare(String name, double share, long lifeMillis, boolean keyed) { }
+    public record ClassShare(String name, double share, long lifeMillis, boolean keyed) { }
 
-    record TenantShare(String name, double share) { }
+    public record TenantShare(String name, double share) { }
 }
