--- a/src/main/java/wrenkeel/net/Door.java
+++ b/src/main/java/wrenkeel/net/Door.java
@@ -63,8 +63,8 @@
 
     /** Listens; each connection gets this handler. To be called on the event loop. */
     static Door open(InetSocketAddress address, EventLoop thread, ChannelHandler clients,
-                     LongConsumer whenResumed) throws IOException {
-        return open(address, thread, clients, whenResumed, ServerSocketChannel::accept);
+                     LongConsumer whenResumed, ListeningSockets sockets) throws IOException {
+        return open(address, thread, clients, whenResumed, sockets, ServerSocketChannel::accept);
     }
 
     /**
@@ -72,8 +72,9 @@
      * waited for it; {@code acceptor}: what {@link #drain} accepts with.
      */
     static Door open(InetSocketAddress address, EventLoop thread, ChannelHandler clients,
-                     LongConsumer whenResumed, Acceptor acceptor) throws IOException {
-        ServerSocketChannel socket = ServerSocketChannel.open();
+                     LongConsumer whenResumed, ListeningSockets sockets, Acceptor acceptor)
+        throws IOException {
+        ServerSocketChannel socket = sockets.open();
         try {
             shared(socket);
             socket.bind(address, BACKLOG);
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -116,7 +116,7 @@
     private void turnAwayUntilServing() throws IOException {
         if (door == null && alone()) {
             server.turnAwayUntilServing();
-            door = Door.open(config.listen(), thread, server, nanos -> { });
+            door = Door.open(config.listen(), thread, server, nanos -> { }, machine.sockets());
             LOG.info("not serving yet on {}", address());
         }
     }
@@ -166,7 +166,8 @@
         loop.adopt();
         if (door == null || !door.listens()) {
             Door reserved = door;
-            door = Door.open(config.listen(), thread, server, nanos -> loop.acceptedLate(nanos));
+            door = Door.open(config.listen(), thread, server, nanos -> loop.acceptedLate(nanos),
+                machine.sockets());
             if (reserved != null) {
                 reserved.close();
             }
@@ -264,6 +265,13 @@
         loop.start(config.known());
     }
 
+    /** Waits until it serves; for a test. */
+    void awaitServing() throws InterruptedException, ExecutionException {
+        while (!thread.submit(() -> serving).get()) {
+            Thread.sleep(LOOK);
+        }
+    }
+
     /** The address that clients connect to. */
     InetSocketAddress address() {
         return door.address();
--- a/src/test/java/wrenkeel/net/ClockStepTest.java
+++ b/src/test/java/wrenkeel/net/ClockStepTest.java
@@ -34,7 +34,7 @@
     }
 
     private Node relay(long step) throws Exception {
-        return new Node(platform.config(Platform.host("s-1", host.port(), 7, "ready")), new Machine(SteppedClock.stepped(step), FileOperations.SYSTEM));
+        return new Node(platform.config(Platform.host("s-1", host.port(), 7, "ready")), new Machine(SteppedClock.stepped(step), FileOperations.SYSTEM, ListeningSockets.SYSTEM));
     }
 
     /** Takes a message on and ends without a word of it, as at SIGKILL; its first call stays unanswered. */
--- a/src/test/java/wrenkeel/net/DoorTest.java
+++ b/src/test/java/wrenkeel/net/DoorTest.java
@@ -52,7 +52,7 @@
     /** Fails accepting as the listening channel does; the look comes before Netty's acceptor would go on. */
     @Test
     void afterAFailedAcceptTheNextIsTriedSoon() throws Exception {
-        Door door = thread.submit(() -> Door.open(ANY, thread, clients, waited::add)).get();
+        Door door = thread.submit(() -> Door.open(ANY, thread, clients, waited::add, ListeningSockets.SYSTEM)).get();
         CompletableFuture<Boolean> accepts = new CompletableFuture<>();
         thread.submit(() -> {
             thread.schedule(() -> accepts.complete(door.listener().config().isAutoRead()), NETTY_PAUSE - 100,
@@ -66,7 +66,7 @@
     /** Guards a message's time: its client has counted from when it connected. */
     @Test
     void whoCouldNotBeAcceptedIsToldToHaveWaited() throws Exception {
-        Door door = thread.submit(() -> Door.open(ANY, thread, clients, waited::add)).get();
+        Door door = thread.submit(() -> Door.open(ANY, thread, clients, waited::add, ListeningSockets.SYSTEM)).get();
         thread.submit(() -> door.listener().pipeline().fireExceptionCaught(noBuffers())).get();
         try (Socket first = new Socket(Platform.LOOPBACK, door.address().getPort());
                 Socket second = new Socket(Platform.LOOPBACK, door.address().getPort())) {
@@ -90,7 +90,7 @@
             }
             return next;
         };
-        Door door = thread.submit(() -> Door.open(ANY, thread, clients, waited::add, failsOnce)).get();
+        Door door = thread.submit(() -> Door.open(ANY, thread, clients, waited::add, ListeningSockets.SYSTEM, failsOnce)).get();
         // Nobody is accepted by the selector from here on: all wait in the queue.
         thread.submit(() -> door.listener().config().setAutoRead(false)).get();
         List<Socket> waiting = new ArrayList<>();
--- a/src/test/java/wrenkeel/net/FullFolderTest.java
+++ b/src/test/java/wrenkeel/net/FullFolderTest.java
@@ -38,7 +38,7 @@
 
     private Node relay(FileOperations files) throws Exception {
         return new Node(platform.config(Platform.host("s-1", host.port(), 7, "ready")),
-            new Machine(MachineClock.SYSTEM, files));
+            new Machine(MachineClock.SYSTEM, files, ListeningSockets.SYSTEM));
     }
 
     private static String health(Node relay) throws IOException {
--- /dev/null
+++ b/src/test/java/wrenkeel/net/NoSocketAtStartTest.java
@@ -0,0 +1,62 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.net.SocketException;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The machine has no socket to listen on for a moment. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class NoSocketAtStartTest {
+    @TempDir
+    Path folder;
+    private Platform platform;
+    private Host host;
+
+    @BeforeEach
+    void begin() throws Exception {
+        platform = new Platform(folder);
+        host = new Host();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        host.close();
+        platform.close();
+    }
+
+    /** Guards against a refused start, and with it what the folder holds. */
+    @Test
+    void aStartTriesAgainToListen() throws Exception {
+        Config config = platform.config(Platform.host("s-1", host.port(), 7, "ready"));
+        try (Journal journal = platform.leftBehind()) {
+            journal.take(new Message("a", "bill", 0, null, "key-a", 7, System.currentTimeMillis() + 60_000,
+                new byte[3]), null);
+        }
+        AtomicInteger failures = new AtomicInteger(3);
+        ListeningSockets sockets = () -> {
+            if (failures.getAndDecrement() > 0) {
+                throw new SocketException("Too many open files in system");
+            }
+            return ServerSocketChannel.open();
+        };
+        try (Node relay = new Node(config, new Machine(MachineClock.SYSTEM, FileOperations.SYSTEM, sockets))) {
+            Host.Call call = host.call();
+            assertEquals("a", call.header("X-Request-ID"));
+            call.answer(Host.OK);
+            relay.awaitServing();
+            try (var client = new Platform.Client(relay)) {
+                assertEquals("HTTP/1.1 200 OK",
+                    client.raw("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", new byte[0]).get(0));
+            }
+        }
+    }
+}
