--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -7,8 +7,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
-import java.net.SocketException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -75,8 +75,8 @@
     }
 
     /**
-     * Begins this process's journal and serves, or stands by. While the folder cannot be written, it waits
-     * and tries again: what is owed there is not given up for that.
+     * Begins this process's journal and serves, or stands by. While the folder cannot be written, or the
+     * machine has no socket, it waits and tries again: what is owed is not given up for that.
      */
     private void start(long gap) throws IOException, Wire.Malformed {
         try {
@@ -91,10 +91,10 @@
             } else {
                 serve();
             }
-        } catch (UnusableFolder | SocketException | Wire.Malformed e) {
+        } catch (UnusableFolder | BindException | Wire.Malformed e) {
             throw e;
         } catch (IOException e) {
-            LOG.warn("the lasting folder cannot be used, tried again in {} ms: {}", gap, e.toString());
+            LOG.warn("cannot serve yet, tried again in {} ms: {}", gap, e.toString());
             turnAwayUntilServing();
             thread.schedule(() -> startAgain(Math.min(FOLDER_GAP_MOST, 2 * gap)), gap, TimeUnit.MILLISECONDS);
         }
@@ -113,11 +113,18 @@
     }
 
     /** Clients hear that this relay does not serve yet, unless another process may be serving them. */
-    private void turnAwayUntilServing() throws IOException {
-        if (door == null && alone()) {
+    private void turnAwayUntilServing() throws BindException {
+        if (door != null || !alone()) {
+            return;
+        }
+        try {
             server.turnAwayUntilServing();
             door = Door.open(config.listen(), thread, server, nanos -> { }, machine.sockets());
             LOG.info("not serving yet on {}", address());
+        } catch (BindException e) {
+            throw e;
+        } catch (IOException e) {
+            LOG.warn("clients find nobody at {} yet: {}", config.listen(), e.toString());
         }
     }
 
