--- a/src/main/java/wrenkeel/net/Console.java
+++ b/src/main/java/wrenkeel/net/Console.java
@@ -7,10 +7,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -48,9 +50,15 @@
     private final Channel listener;
 
     Console(InetSocketAddress address, BooleanSupplier ready, Figures figures) throws InterruptedException {
+        this(address, ready, figures, NioServerSocketChannel::new);
+    }
+
+    /** {@code sockets}: makes the listening channel; fails while the machine is short of descriptors. */
+    Console(InetSocketAddress address, BooleanSupplier ready, Figures figures,
+            ChannelFactory<ServerChannel> sockets) throws InterruptedException {
         Callers callers = new Callers(CALLERS);
         ServerBootstrap bootstrap = new ServerBootstrap().group(group)
-            .channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
+            .channelFactory(sockets).option(ChannelOption.SO_REUSEADDR, true)
             .handler(new AcceptRetry(waited -> { }))
             .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .childHandler(new ChannelInitializer<Channel>() {
--- a/src/test/java/wrenkeel/net/ConsoleTest.java
+++ b/src/test/java/wrenkeel/net/ConsoleTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.*;
 import static wrenkeel.net.Platform.host;
 
+import io.netty.channel.ChannelException;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -196,4 +199,19 @@
             assertEquals("HTTP/1.1 202 Accepted", client.post("a", "bill", 7, 16_000).get(0));
         }
     }
+
+    /** Guards the start: a console that cannot listen for a moment is no reason to end it. */
+    @Test
+    void aConsoleWithoutASocketForAMomentTriesAgain() throws Exception {
+        AtomicInteger failures = new AtomicInteger(3);
+        InetSocketAddress any = new InetSocketAddress(Platform.LOOPBACK, 0);
+        try (Console console = new Console(any, () -> true, new Figures(), () -> {
+            if (failures.getAndDecrement() > 0) {
+                throw new ChannelException("too many open files");
+            }
+            return new NioServerSocketChannel();
+        })) {
+            assertTrue(call(console.address(), "GET /api/ready HTTP/1.1").startsWith("HTTP/1.1 200 "));
+        }
+    }
 }
