--- a/src/main/java/wrenkeel/net/Console.java
+++ b/src/main/java/wrenkeel/net/Console.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -26,6 +27,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -47,6 +49,10 @@
 
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    /** Tries to listen, and ms between them: five seconds. */
+    private static final int LISTEN_TRIES = 50;
+    private static final long LISTEN_GAP = 100;
+
     private final Channel listener;
 
     Console(InetSocketAddress address, BooleanSupplier ready, Figures figures) throws InterruptedException {
@@ -69,7 +75,20 @@
                         new RequestDeadline(callers, CALL_WITHIN), new Calls(ready, figures));
                 }
             });
-        listener = bootstrap.bind(address).sync().channel();
+        listener = listen(bootstrap, address);
+    }
+
+    /** An address in use is final; any other failure, such as too few descriptors, may be over in a moment. */
+    private static Channel listen(ServerBootstrap bootstrap, InetSocketAddress address)
+        throws InterruptedException {
+        for (int tries = LISTEN_TRIES;; tries--) {
+            ChannelFuture bound = bootstrap.bind(address).await();
+            if (bound.isSuccess() || tries == 1 || bound.cause() instanceof BindException) {
+                return bound.sync().channel();
+            }
+            LOG.warn("operators are not listened to yet, tried again: {}", bound.cause().toString());
+            TimeUnit.MILLISECONDS.sleep(LISTEN_GAP);
+        }
     }
 
     InetSocketAddress address() {
