--- a/src/main/java/wrenkeel/net/Console.java
+++ b/src/main/java/wrenkeel/net/Console.java
@@ -78,7 +78,7 @@
         listener = listen(bootstrap, address);
     }
 
-    /** An address in use is final; any other failure, such as too few descriptors, may be over in a moment. */
+    /** An address in use is final; any other failure, such as no descriptor, may be over in a moment. */
     private static Channel listen(ServerBootstrap bootstrap, InetSocketAddress address)
         throws InterruptedException {
         for (int tries = LISTEN_TRIES;; tries--) {
