--- a/src/test/java/wrenkeel/net/LoopTest.java
+++ b/src/test/java/wrenkeel/net/LoopTest.java
@@ -159,4 +159,63 @@
         assertEquals("a", host.call().header("X-Request-ID"));
         assertTrue(host.quiet());
     }
+
+    /** Delivers so many messages one after the other, so that more than one call may be out. */
+    private void warmUp(int messages) throws Exception {
+        for (int i = 0; i < messages; i++) {
+            String id = "warm-" + i;
+            inOnePass(() -> loop.accept(message(id), client(id)));
+            host.call().answer(Host.OK);
+            while (journal.size() > 0) {
+                settle();
+            }
+        }
+    }
+
+    /** Whether a message's first byte may have left, by what was written down before it would. */
+    private boolean sent(String id) throws Exception {
+        return thread.submit(() -> journal.owed().stream().filter(entry -> entry.message.id().equals(id))
+            .anyMatch(entry -> entry.attempts.stream().anyMatch(attempt -> attempt.mayHaveRun))).get();
+    }
+
+    /**
+     * Guards the rule on waits: the thread is held up after it has looked at its sockets, and the word to wait
+     * comes just then. What is decided after that must not go by what was read before.
+     */
+    @Test
+    void aWaitThatCameDuringAPauseBindsTheSendsAfterIt() throws Exception {
+        warmUp(4);
+        // Two connections are left idle, so that neither call has to wait for one.
+        inOnePass(() -> {
+            loop.accept(message("x"), client("x"));
+            loop.accept(message("y"), client("y"));
+        });
+        Host.Call x = host.call(), y = host.call();
+        x.answer(Host.OK);
+        y.answer(Host.OK);
+        while (journal.size() > 0) {
+            settle();
+        }
+        inOnePass(() -> loop.accept(message("a"), client("a")));
+        Host.Call first = host.call();
+        inOnePass(() -> {
+            loop.accept(message("b"), client("b"));
+            first.answer("HTTP/1.1 429 No\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n");
+        });
+        settle();
+        assertFalse(sent("b"));
+    }
+
+    /** Guards the rule on drains in the same way: the list stands unread in the agent's socket. */
+    @Test
+    void aDrainThatCameDuringAPauseBindsTheSendsAfterIt() throws Exception {
+        warmUp(4);
+        inOnePass(() -> {
+            loop.accept(message("b"), client("b"));
+            platform.changes.add(Platform.list(2, false, Platform.host("s-1", host.port(), 7, "draining")));
+            platform.answeredWatches.acquire();
+        });
+        settle();
+        assertFalse(sent("b"));
+    }
 }
