Read what came during a pause before anything is sent

Change: before a turn's sends the agent's watch and the open calls to the same destinations are read; a wait heard since the decision holds the send back; a drain already did.

--- a/src/main/java/wrenkeel/net/AgentConnection.java
+++ b/src/main/java/wrenkeel/net/AgentConnection.java
@@ -150,6 +150,13 @@
         }
     }
 
+    /** Reads what has come of an answer, if a request is under way. */
+    void readNow() {
+        if (waiting != null && channel != null) {
+            UnreadBytes.read(channel);
+        }
+    }
+
     /** True while a request is under way. */
     boolean isBusy() {
         return waiting != null;
--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -111,6 +111,11 @@
         return faults;
     }
 
+    /** Takes in what the agent has written by now. */
+    void readNow() {
+        watch.readNow();
+    }
+
     /** Goes on at another address; what is under way at the old one is asked or posted there again. */
     void moveTo(InetSocketAddress agent) {
         if (agent.equals(this.agent)) {
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -356,6 +356,17 @@
         return held;
     }
 
+    /** Reads what hosts have answered to calls that are out: it may tell to wait. */
+    void readAnswers(HostList.Host host) {
+        if (pools.containsKey(host.number)) {
+            for (Connection c : List.copyOf(pool(host).open)) {
+                if (c.call != null) {
+                    UnreadBytes.read(c.channel);
+                }
+            }
+        }
+    }
+
     /**
      * Takes back the calls to a host that still wait for their connection. Guards the rules on drains and
      * waits: such a call would go out as soon as the connection is up, long after the host asked for nothing
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -420,6 +420,7 @@
         try {
             List<Relay.Action> actions = control.turn(now(), told);
             answer(actions);
+            readBeforeSending(actions);
             for (Relay.Action action : actions) {
                 try {
                     carryOut(action);
@@ -479,6 +480,26 @@
         }
     }
 
+    /**
+     * Reads what has come from the agent and from the destinations that are about to be sent to. The thread
+     * may have been held up since it looked at its sockets, and what it has not read binds it all the same.
+     */
+    private void readBeforeSending(List<Relay.Action> actions) {
+        Set<Long> destinations = new HashSet<>();
+        for (Relay.Action action : actions) {
+            HostList.Host host = action instanceof Relay.Send send ? hosts.host(send.endpoint()) : null;
+            if (host == null) {
+                continue;
+            }
+            if (destinations.isEmpty()) {
+                discovery.readNow();
+            }
+            if (destinations.add(host.destination)) {
+                hosts.hostsOf(host.destination).forEach(pool::readAnswers);
+            }
+        }
+    }
+
     private void refuse(String id, Answer answer, Refusal why) {
         figures.refused(why);
         TRACE.debug("{} refused: {}", id, why);
@@ -571,10 +592,14 @@
         Violation violation = guard.check(h.entry, h.rules, host, apart(host), clock.millis(), now());
         if (violation != null) {
             violated(violation, h.message.id());
+        }
+        // A wait that has been read since the decision is nobody's fault, and binds.
+        boolean permitted = violation == null && !guard.mustWait(host, apart(host), now());
+        if (!permitted) {
             // It keeps its number.
             journal.notMade(h.entry, clock.millis(), host.zone);
         }
-        return violation == null;
+        return permitted;
     }
 
     private void violated(Violation rule, String id) {
--- a/src/main/java/wrenkeel/net/SendGuard.java
+++ b/src/main/java/wrenkeel/net/SendGuard.java
@@ -54,6 +54,12 @@
         return waits ? Violation.SENT_WITHIN_WAIT : null;
     }
 
+    /** True while a wait that has been heard is not over. */
+    boolean mustWait(HostList.Host host, boolean apart, long nowMicros) {
+        Wait wait = waits.get(lane(host, apart));
+        return wait != null && nowMicros < wait.until;
+    }
+
     private static boolean mayRepeat(Journal.Attempt before, Relay.MessageClass rules, HostList.Host host,
                                      long nowMillis) {
         return switch (rules.effect()) {
--- a/src/test/java/wrenkeel/net/LoopTest.java
+++ b/src/test/java/wrenkeel/net/LoopTest.java
@@ -6,6 +6,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.charset.StandardCharsets;
+import java.net.Socket;
+import java.net.ServerSocket;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -206,16 +210,34 @@
         assertFalse(sent("b"));
     }
 
+    private static void answer(Socket watch, String list) throws IOException {
+        Host.head(watch.getInputStream());
+        write(watch, list);
+    }
+
+    private static void write(Socket watch, String list) throws IOException {
+        watch.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+            .getBytes(StandardCharsets.UTF_8));
+    }
+
     /** Guards the rule on drains in the same way: the list stands unread in the agent's socket. */
     @Test
     void aDrainThatCameDuringAPauseBindsTheSendsAfterIt() throws Exception {
         warmUp(4);
-        inOnePass(() -> {
-            loop.accept(message("b"), client("b"));
-            platform.changes.add(Platform.list(2, false, Platform.host("s-1", host.port(), 7, "draining")));
-            platform.answeredWatches.acquire();
-        });
-        settle();
-        assertFalse(sent("b"));
+        try (ServerSocket agent = new ServerSocket(0, 8, Platform.LOOPBACK)) {
+            Config moved = platform.configAt(agent.getLocalPort());
+            inOnePass(() -> loop.retune(moved));
+            Socket watch = agent.accept();
+            answer(watch, Platform.list(2, false));
+            // The next call waits, and its answer comes while the thread is held up.
+            Host.head(watch.getInputStream());
+            inOnePass(() -> {
+                loop.accept(message("b"), client("b"));
+                write(watch, Platform.list(3, false, Platform.host("s-1", host.port(), 7, "draining")));
+            });
+            settle();
+            assertFalse(sent("b"));
+            watch.close();
+        }
     }
 }
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -34,8 +33,6 @@
     final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
     /** The answer to calls for the list that do not wait, each time; the agent is silent while there is none. */
     final BlockingQueue<String> atOnce = new LinkedBlockingQueue<>(List.of(list(1, false)));
-    /** Watches whose answer has been handed to the system. */
-    final Semaphore answeredWatches = new Semaphore(0);
     /** The queries of all calls for the list. */
     final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
     private final HttpServer agent;
@@ -67,10 +64,6 @@
                 }
                 exchange.sendResponseHeaders(200, list.length);
                 exchange.getResponseBody().write(list);
-                exchange.getResponseBody().close();
-                if (waits) {
-                    answeredWatches.release();
-                }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -126,6 +119,14 @@
         return Config.read(env());
     }
 
+    /** The latest configuration, with another address of discovery. */
+    Config configAt(int discovery) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Files.readString(file).replace("127.0.0.1:" + agent.getAddress().getPort(),
+            "127.0.0.1:" + discovery));
+        return Config.read(env());
+    }
+
     Map<String, String> env() {
         return Map.of("EDGE_CONFIG", folder.resolve("config.json").toString(),
             "EDGE_STATE", folder.resolve("state").toString());
--- a/src/test/java/wrenkeel/net/SendGuardTest.java
+++ b/src/test/java/wrenkeel/net/SendGuardTest.java
@@ -82,7 +82,9 @@
         Relay.MessageClass safe = rules(Relay.Effect.SAFE, false);
         Journal.Entry entry = entry(safe);
         guard.heardWait(host, false, NOW_US, SECOND_US);
-        assertNull(check(entry, safe, sibling, 50), "it may have been on its way");
+        assertNull(check(entry, safe, sibling, 50), "it may have been decided before");
+        assertTrue(guard.mustWait(sibling, false, NOW_US + 1), "but it does not go out any more");
+        assertFalse(guard.mustWait(sibling, false, NOW_US + SECOND_US));
         assertEquals(Violation.SENT_WITHIN_WAIT, check(entry, safe, sibling, 500));
         guard.heardWait(host, false, NOW_US, SECOND_US / 10);
         assertEquals(Violation.SENT_WITHIN_WAIT, check(entry, safe, host, 500), "the longer one binds");
