--- a/src/main/java/wrenkeel/scale/RelayProcess.java
+++ b/src/main/java/wrenkeel/scale/RelayProcess.java
@@ -35,7 +35,7 @@
     private final Path root;
     private final Path folder;
     private final RelaySettings settings;
-    private final InetSocketAddress agent;
+    private InetSocketAddress agent;
     private final Map<String, String> environment;
     private final Thread atExit = new Thread(this::remove, "end of a relay");
     private Process process;
@@ -107,6 +107,20 @@
         return starts == 0 ? "" : Files.readString(log(starts));
     }
 
+    /** What all processes have written so far, the latest last. */
+    public String logs() throws IOException {
+        StringBuilder all = new StringBuilder();
+        for (int start = 1; start <= starts; start++) {
+            all.append("---- start ").append(start).append('\n').append(Files.readString(log(start)));
+        }
+        return all.toString();
+    }
+
+    /** Waits until the process has ended; false where it has not in time. */
+    public boolean awaitEnd(Duration atMost) throws InterruptedException {
+        return process.waitFor(atMost.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     /** The folder that lasts. */
     public Path state() {
         return folder.resolve("state");
@@ -263,6 +277,7 @@
 
     /** Writes the configuration anew with another address of discovery, then SIGHUP. */
     public void reload(InetSocketAddress otherAgent) throws IOException, InterruptedException {
+        agent = otherAgent;
         Path draft = folder.resolve("config.new");
         RelayConfig.write(draft, settings, otherAgent, null);
         Files.move(draft, folder.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE);
--- /dev/null
+++ b/src/main/java/wrenkeel/soak/BadClient.java
@@ -0,0 +1,64 @@
+package wrenkeel.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.function.LongSupplier;
+
+/** A peer of a relay that sends something else than a proper request, and stays. */
+final class BadClient implements Runnable {
+    /** What it sends. */
+    enum Sort {
+        /** Nothing. */ SILENT(""),
+        /** Part of a head. */ HALF_HEAD("POST /order HTTP/1.1\r\nHost: api.internal\r\nX-Requ"),
+        /** A head and part of its body. */ HALF_BODY("POST /order HTTP/1.1\r\nHost: api.internal\r\n"
+            + "X-Request-ID: bad\r\nX-Priority-Class: order\r\nX-Timeout-Ms: 2000\r\nX-Envelope: dest=1\r\n"
+            + "Content-Length: 100\r\n\r\nhalf"),
+        /** No HTTP. */ GARBAGE("\u0016\u0003\u0001garbage\r\n\r\n"),
+        /** Two heads of an unknown path at once. */ PIPELINE("GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+            + "GET /b HTTP/1.1\r\nHost: a\r\n\r\n"),
+        /** A body longer than any may be. */ OVERSIZED("POST /order HTTP/1.1\r\nHost: api.internal\r\n"
+            + "Content-Length: 70000000\r\n\r\n");
+
+        private final String text;
+
+        Sort(String text) {
+            this.text = text;
+        }
+    }
+
+    private static final int PATIENCE_MILLIS = 8_000;
+
+    private final int relay;
+    private final InetSocketAddress address;
+    private final Sort sort;
+    private final LongSupplier clock;
+    private final History history;
+
+    BadClient(int relay, InetSocketAddress address, Sort sort, LongSupplier clock, History history) {
+        this.relay = relay;
+        this.address = address;
+        this.sort = sort;
+        this.clock = clock;
+        this.history = history;
+    }
+
+    @Override
+    public void run() {
+        long connected = clock.getAsLong();
+        long ended = -1;
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(PATIENCE_MILLIS);
+            socket.getOutputStream().write(sort.text.getBytes(StandardCharsets.ISO_8859_1));
+            // An error's first byte, or the end, is what it is owed.
+            socket.getInputStream().read();
+            ended = clock.getAsLong();
+        } catch (java.net.SocketTimeoutException e) {
+            ended = -1;
+        } catch (IOException e) {
+            ended = clock.getAsLong();
+        }
+        history.badPeer(new History.BadPeer(relay, sort.name(), connected, ended));
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenkeel/soak/Shim.java
@@ -0,0 +1,65 @@
+package wrenkeel.soak;
+
+import java.io.IOException;
+import java.nio.ByteOrder;
+import java.nio.MappedByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** What system calls of one relay's process fail now: the file that {@code soak_shim.c} reads. Any thread. */
+final class Shim {
+    /** The words of the file, in the order of the C source. */
+    enum Word {
+        WALL_STEP_S, ACCEPT_ERRNO, ACCEPT_COUNT, CONNECT_ERRNO, CONNECT_COUNT, SOCKET_ERRNO, SOCKET_COUNT,
+        FILE_ERRNO, FILE_HALF, SHORT_IO, EINTR_COUNT, PAUSE_MS, PAUSE_COUNT, READ_ERRNO, READ_COUNT
+    }
+
+    /** Error numbers of Linux. */
+    static final int EIO = 5, ENFILE = 23, ENOSPC = 28, EADDRNOTAVAIL = 99, ENETUNREACH = 101, ENOBUFS = 105,
+        ETIMEDOUT = 110, EHOSTUNREACH = 113;
+
+    private static final String SOURCE = "src/main/native/soak_shim.c";
+
+    private final Path file;
+    private final MappedByteBuffer words;
+
+    Shim(Path file) throws IOException {
+        this.file = file;
+        int bytes = Word.values().length * Integer.BYTES;
+        Files.write(file, new byte[bytes]);
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ,
+                StandardOpenOption.WRITE)) {
+            words = channel.map(FileChannel.MapMode.READ_WRITE, 0, bytes);
+        }
+        words.order(ByteOrder.nativeOrder());
+    }
+
+    void set(Word word, int value) {
+        words.putInt(word.ordinal() * Integer.BYTES, value);
+    }
+
+    /** What a process needs to be started with. */
+    Map<String, String> environment(Path library) {
+        return Map.of("LD_PRELOAD", library.toString(), "SOAK_SHIM", file.toString());
+    }
+
+    /** Compiles the shim into a folder; fails where there is no C compiler. */
+    static Path compile(Path root, Path folder) throws IOException, InterruptedException {
+        Path library = folder.resolve("soak_shim.so");
+        Process compiler;
+        try {
+            compiler = new ProcessBuilder("cc", "-shared", "-fPIC", "-O2", "-o", library.toString(),
+                root.resolve(SOURCE).toString(), "-ldl").inheritIO().start();
+        } catch (IOException e) {
+            throw new IOException("no C compiler, install the Debian package gcc: " + e.getMessage(), e);
+        }
+        if (!compiler.waitFor(60, TimeUnit.SECONDS) || compiler.exitValue() != 0) {
+            throw new IOException("the shim does not compile");
+        }
+        return library;
+    }
+}
