--- a/src/test/java/wrenkeel/net/FullFolderTest.java
+++ b/src/test/java/wrenkeel/net/FullFolderTest.java
@@ -104,4 +104,32 @@
         relay.leave();
         assertThrows(IOException.class, () -> new Platform.Client(address).close());
     }
+
+    /** Guards who is served as the process is to be replaced: a folder that fails then cuts nobody off. */
+    @Test
+    void aHandOverThatCannotBeWrittenDownCutsNoClientOff() throws Exception {
+        Config config = platform.config("127.0.0.1:" + platform.freePort(),
+            new String[] {Platform.host("s-1", host.port(), 7, "ready")});
+        FailingFiles files = new FailingFiles(null);
+        try (Node old = new Node(config, new Machine(MachineClock.SYSTEM, files, ListeningSockets.SYSTEM));
+                var half = new Platform.Client(old)) {
+            try (Node next = new Node(config)) {
+                String head = "POST /bill HTTP/1.1\r\nHost: api.internal\r\n"
+                    + String.join("\r\n", Platform.Client.headers("a", "bill", 7, 16_000))
+                    + "\r\nContent-Length: 4\r\n\r\n";
+                half.write(head + "ha");
+                files.failure = FULL;
+                Thread end = new Thread(old::leave);
+                end.start();
+                while (!REFUSED.equals(health(old))) {
+                    Thread.onSpinWait();
+                }
+                assertTrue(files.failedWrites.tryAcquire(3, Platform.PATIENCE_S, TimeUnit.SECONDS), "tried again");
+                half.write("lf");
+                assertEquals(REFUSED, half.answer().get(0));
+                end.join();
+                assertNotNull(next.consoleAddress());
+            }
+        }
+    }
 }
