Try a hand-over again that cannot be written down, and turn clients away in order if it never can

Now it is tried again every 50 ms up to a second before the end; if it never can be, clients are turned away as without a successor, which takes over once the lock is free. The test no longer closes a relay that has left already.

--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -27,6 +27,8 @@
      * 3.7 s).
      */
     private static final long SERVE_ON = 600, LEAVE_BY = 3_300;
+    /** ns before the end by which a hand-over is written down or done without; ms between tries. */
+    private static final long HAND_OVER_MOST = TimeUnit.MILLISECONDS.toNanos(1_000), HAND_OVER_GAP = 50;
     /** ms between looks: for the end, at what the earlier process passes on, and after a fault. */
     private static final long LOOK = 20, TURN_OVER = 10, AGAIN = 200;
     /** ms between tries to use a lasting folder that fails: the first gap, doubled up to the longest. */
@@ -309,10 +311,10 @@
             }).get();
             if (!thread.submit(() -> serving).get()) {
                 LOG.info("told to end before it served");
-            } else if (thread.submit(journal::laterWaits).get()) {
-                handOver(by);
             } else {
-                Thread.sleep(SERVE_ON);
+                if (!laterWaits() || !passOn(by - HAND_OVER_MOST)) {
+                    Thread.sleep(SERVE_ON);
+                }
                 turnAway(by);
             }
             while (System.nanoTime() < by && !idle()) {
@@ -324,17 +326,45 @@
         close();
     }
 
-    /** What is not out is passed on; the door closes once the next process has opened its own. */
-    private void handOver(long by) throws InterruptedException, ExecutionException {
-        thread.submit(() -> {
-            loop.leave();
-            clients.allow(config.descriptors().clients() / 2);
-            return null;
+    /** Whether another process stands by; where the folder cannot be read, as if none did. */
+    private boolean laterWaits() throws InterruptedException, ExecutionException {
+        return thread.submit(() -> {
+            try {
+                return journal.laterWaits();
+            } catch (IOException e) {
+                LOG.warn("cannot tell whether another process stands by: {}", e.toString());
+                return false;
+            }
         }).get();
-        while (System.nanoTime() < by && !journal.laterServes() && thread.submit(journal::laterWaits).get()) {
+    }
+
+    /**
+     * What is not out is passed on, and the next process opens its door. False where that cannot be written
+     * down until then: the next process takes over once this one has ended, and clients are turned away as
+     * if there were none.
+     */
+    private boolean passOn(long until) throws InterruptedException, ExecutionException {
+        while (!thread.submit(this::writeHandOver).get()) {
+            if (System.nanoTime() >= until) {
+                return false;
+            }
+            Thread.sleep(HAND_OVER_GAP);
+        }
+        while (System.nanoTime() < until && !journal.laterServes() && laterWaits()) {
             Thread.sleep(LOOK);
         }
-        turnAway(by);
+        return true;
+    }
+
+    private boolean writeHandOver() {
+        try {
+            loop.leave();
+            clients.allow(config.descriptors().clients() / 2);
+            return true;
+        } catch (IOException e) {
+            LOG.warn("the hand-over cannot be written down, tried again: {}", e.toString());
+            return false;
+        }
     }
 
     /**
--- a/src/test/java/wrenkeel/net/FullFolderTest.java
+++ b/src/test/java/wrenkeel/net/FullFolderTest.java
@@ -111,8 +111,8 @@
         Config config = platform.config("127.0.0.1:" + platform.freePort(),
             new String[] {Platform.host("s-1", host.port(), 7, "ready")});
         FailingFiles files = new FailingFiles(null);
-        try (Node old = new Node(config, new Machine(MachineClock.SYSTEM, files, ListeningSockets.SYSTEM));
-                var half = new Platform.Client(old)) {
+        Node old = new Node(config, new Machine(MachineClock.SYSTEM, files, ListeningSockets.SYSTEM));
+        try (var half = new Platform.Client(old)) {
             try (Node next = new Node(config)) {
                 String head = "POST /bill HTTP/1.1\r\nHost: api.internal\r\n"
                     + String.join("\r\n", Platform.Client.headers("a", "bill", 7, 16_000))
