--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -357,6 +357,11 @@
         }
     }
 
+    /** An attempt that was written down was never made: this machine had no socket for it. */
+    void unmade(Entry entry, int attempt) throws IOException {
+        notRun(entry, attempt);
+    }
+
     /** A send that was decided and is not made, for it cannot be written down; it keeps its number. */
     void notMade(Entry entry, long time, int zone) {
         Attempt attempt = new Attempt(time, zone);
--- a/src/test/java/wrenkeel/net/JournalTest.java
+++ b/src/test/java/wrenkeel/net/JournalTest.java
@@ -394,4 +394,25 @@
             assertEquals(List.of("a", "b"), journal.owed().stream().map(e -> e.message.id()).toList());
         }
     }
+
+    /** Guards a message's attempts across a restart: what was never made is none of them. */
+    @Test
+    void anAttemptThatWasNeverMadeIsNotTakenOver() throws IOException {
+        try (Journal journal = open()) {
+            Journal.Entry entry = journal.take(message("a", 10), RULES);
+            journal.sent(entry, 1_000, 1);
+            journal.sent(entry, 2_000, 2);
+            journal.unmade(entry, 0);
+            journal.notMade(entry, 3_000, 3);
+            journal.sent(entry, 4_000, 4);
+            journal.notRun(entry, 3);
+        }
+        // Twice: what the first start wrote anew must read the same.
+        for (int start = 0; start < 2; start++) {
+            try (Journal journal = open()) {
+                assertEquals(List.of(2, 4), only(journal).attempts.stream().map(a -> a.zone).toList());
+                assertEquals(List.of(true, false), only(journal).attempts.stream().map(a -> a.mayHaveRun).toList());
+            }
+        }
+    }
 }
