--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -61,13 +61,15 @@
     private static final int ATTEMPT_BYTES = (HEAD + 23) + (HEAD + 11), END_BYTES = (HEAD + 18) + (HEAD + 9);
     /** Sort 1: a message by a release that did not write down its class. */
     private static final byte TAKEN_BARE = 1, SENT = 2, NOT_RUN = 3, ENDED = 4, CLOSED = 5,
-        ORIGIN = 6, ABSORBED = 7, PASSED = 8, WAIT = 9, TAKEN = 10, CLOCK = 11;
+        ORIGIN = 6, ABSORBED = 7, PASSED = 8, WAIT = 9, TAKEN = 10, CLOCK = 11, UNMADE = 12;
 
     /** One send of a message. {@code sent}: Unix time, ms; {@code zone}: its host's. */
     static final class Attempt {
         final long sent;
         final int zone;
         boolean mayHaveRun = true;
+        /** This machine failed: it counts only among the numbers of this process's attempts. */
+        private boolean unmade;
 
         Attempt(long sent, int zone) {
             this.sent = sent;
@@ -269,7 +271,8 @@
     private Entry adopt(Entry from, Origin origin, RecordedTimes times) throws IOException {
         long deadline = times.deadline(from.message.deadline(), from.rules);
         Entry entry = new Entry(++last, from.message.withDeadline(deadline), from.rules);
-        from.attempts.forEach(attempt -> entry.attempts.add(attempt.sentAt(times.sent(attempt.sent))));
+        from.attempts.stream().filter(attempt -> !attempt.unmade)
+            .forEach(attempt -> entry.attempts.add(attempt.sentAt(times.sent(attempt.sent))));
         entry.end = from.end;
         ByteArrayOutputStream records = new ByteArrayOutputStream();
         records.writeBytes(origin(origin));
@@ -359,13 +362,16 @@
 
     /** An attempt that was written down was never made: this machine had no socket for it. */
     void unmade(Entry entry, int attempt) throws IOException {
-        notRun(entry, attempt);
+        entry.attempts.get(attempt).mayHaveRun = false;
+        entry.attempts.get(attempt).unmade = true;
+        append(record(UNMADE, entry.number, o -> o.writeShort(attempt)));
     }
 
     /** A send that was decided and is not made, for it cannot be written down; it keeps its number. */
     void notMade(Entry entry, long time, int zone) {
         Attempt attempt = new Attempt(time, zone);
         attempt.mayHaveRun = false;
+        attempt.unmade = true;
         entry.attempts.add(attempt);
         // The file lacks it, and its later records would have other numbers.
         behind = true;
@@ -462,7 +468,8 @@
             int attempt = i;
             to.write(sent(entry, entry.attempts.get(i)));
             if (!entry.attempts.get(i).mayHaveRun) {
-                to.write(record(NOT_RUN, entry.number, o -> o.writeShort(attempt)));
+                byte sort = entry.attempts.get(i).unmade ? UNMADE : NOT_RUN;
+                to.write(record(sort, entry.number, o -> o.writeShort(attempt)));
             }
         }
         if (entry.end != null) {
@@ -680,6 +687,13 @@
                         entry.attempts.get(in.readShort()).mayHaveRun = false;
                     }
                 }
+                case UNMADE -> {
+                    if (!entry.doubted) {
+                        Attempt attempt = entry.attempts.get(in.readShort());
+                        attempt.mayHaveRun = false;
+                        attempt.unmade = true;
+                    }
+                }
                 case ENDED -> entry.end = new End(in.readBoolean(), in.readLong());
                 default -> throw new IOException("journal holds a record of unknown sort " + sort);
             }
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -654,8 +654,8 @@
                     // Its time was up before the host heard of it.
                     figures.failed(h.message.messageClass());
                 }
-            } else if (reply.outcome().neverRan()) {
-                notRun(h, attempt);
+            } else if (reply.outcome().neverRan() && reply.outcome() != Relay.Outcome.NOT_JOURNALED) {
+                notRun(h, attempt, reply.outcome() == Relay.Outcome.NO_SOCKET);
             }
         }
         tell(new Relay.Ended(h.message.id(), attempt, host.number, reply.outcome(), over, reply.waitFor(),
@@ -674,9 +674,13 @@
         }
     }
 
-    private void notRun(Held h, int attempt) {
+    private void notRun(Held h, int attempt, boolean unmade) {
         try {
-            journal.notRun(h.entry, attempt);
+            if (unmade) {
+                journal.unmade(h.entry, attempt);
+            } else {
+                journal.notRun(h.entry, attempt);
+            }
         } catch (IOException e) {
             // The attempt then counts as one that may have run, which is safe.
             journalHealth.failed("outcome of message " + h.message.id() + " is not kept", e);
