--- a/src/test/java/wrenkeel/net/EndReserveTest.java
+++ b/src/test/java/wrenkeel/net/EndReserveTest.java
@@ -21,6 +21,16 @@
         assertTrue(decidedAt + PAUSE <= sent + time + END_SLACK);
     }
 
+    /** More than twice the longest pause that was measured on a crowded machine, 745 ms. */
+    @ParameterizedTest
+    @ValueSource(longs = {6_000, 12_000, 28_000})
+    void theEndOfAMessageOfSomeSecondsOutlastsALongPause(long time) {
+        long sent = 1_000_000;
+        long deadline = Server.deadline(sent, time);
+        long decidedAt = deadline - EndReserve.millis(deadline - sent);
+        assertTrue(decidedAt + 1_700 <= sent + time + END_SLACK);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 40, 400, 1_000, 1_200, 2_000, 4_000, 28_000})
     void aMessageKeepsThreeQuartersOfItsTime(long time) {
