--- a/src/main/java/wrenkeel/net/EndReserve.java
+++ b/src/main/java/wrenkeel/net/EndReserve.java
@@ -6,7 +6,7 @@
  */
 final class EndReserve {
     /** ms; costs the last attempts of a long-lived message, which have little worth left. */
-    private static final long MOST = 700;
+    private static final long MOST = 1_200;
     /** ms; how far before the end of its time the deadline of a new message lies already. */
     private static final long DEADLINE_MARGIN = 300;
     /** Of a message's time this part at most is kept back in all. */
