--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -221,7 +221,7 @@
                 }
             });
         retune(connectTimeout, keepAlive, most);
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::sweepSafely, SWEEP, SWEEP, TimeUnit.MILLISECONDS);
     }
 
     /** Other limits hold from the next connection on. */
@@ -411,6 +411,15 @@
         return pools.containsKey(host.number) ? pool(host).idle.size() : 0;
     }
 
+    /** A periodic task that throws is never run again, and stale connections would be used for ever. */
+    private void sweepSafely() {
+        try {
+            sweep();
+        } catch (RuntimeException e) {
+            LOG.error("connections not swept", e);
+        }
+    }
+
     private void sweep() {
         pools.values().removeIf(pool -> pool.open.isEmpty() && pool.connecting.isEmpty());
         for (Pool pool : pools.values()) {
--- a/src/main/java/wrenkeel/net/Loop.java
+++ b/src/main/java/wrenkeel/net/Loop.java
@@ -95,6 +95,8 @@
     private final long knowledgeMost;
     private final JournalHealth journalHealth;
     private final SendGuard guard = new SendGuard();
+    /** When the turn that is carried out was decided, by the journal's clock and the module's. */
+    private long turnAtMillis, turnAtMicros;
     private boolean turnDue;
     private boolean stopped;
     private boolean leaving;
@@ -418,7 +420,9 @@
         List<Relay.Event> told = events;
         events = new ArrayList<>();
         try {
-            List<Relay.Action> actions = control.turn(now(), told);
+            turnAtMillis = clock.millis();
+            turnAtMicros = now();
+            List<Relay.Action> actions = control.turn(turnAtMicros, told);
             answer(actions);
             readBeforeSending(actions);
             for (Relay.Action action : actions) {
@@ -589,12 +593,14 @@
 
     /** What the rules forbid does not go out, whatever was decided. */
     private boolean permitted(Held h, HostList.Host host) {
-        Violation violation = guard.check(h.entry, h.rules, host, apart(host), clock.millis(), now());
+        boolean apart = apart(host);
+        Violation violation = guard.check(h.entry, h.rules, host, apart, turnAtMillis, turnAtMicros);
         if (violation != null) {
             violated(violation, h.message.id());
         }
-        // A wait that has been read since the decision is nobody's fault, and binds.
-        boolean permitted = violation == null && !guard.mustWait(host, apart(host), now());
+        // What a pause since the decision has overtaken is nobody's fault, and does not go out either.
+        boolean permitted = violation == null && !guard.mustWait(host, apart, now())
+            && guard.check(h.entry, h.rules, host, apart, clock.millis(), now()) == null;
         if (!permitted) {
             // It keeps its number.
             journal.notMade(h.entry, clock.millis(), host.zone);
