Test that a relay serves though its runtime cannot share an address (red)

The runtime finds out once whether the option exists, by a socket of its own; if that fails, the answer is no for as long as the process lives.

--- a/src/main/java/wrenkeel/net/Door.java
+++ b/src/main/java/wrenkeel/net/Door.java
@@ -90,7 +90,7 @@
         return new Door(socket, thread, listener, acceptor);
     }
 
-    private static NetworkChannel shared(NetworkChannel socket) throws IOException {
+    static NetworkChannel shared(NetworkChannel socket) throws IOException {
         return socket.setOption(StandardSocketOptions.SO_REUSEADDR, true)
             .setOption(StandardSocketOptions.SO_REUSEPORT, true);
     }
--- a/src/test/java/wrenkeel/net/DoorTest.java
+++ b/src/test/java/wrenkeel/net/DoorTest.java
@@ -7,6 +7,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.Set;
+import java.util.HashSet;
+import java.nio.channels.NetworkChannel;
+import java.net.StandardSocketOptions;
+import java.net.SocketOption;
+import java.net.SocketAddress;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -105,4 +111,56 @@
             socket.close();
         }
     }
+
+    /** A socket as the runtime makes it once its one look for SO_REUSEPORT has met a machine without sockets. */
+    private static final class WithoutReusePort implements NetworkChannel {
+        private final Set<SocketOption<?>> set = new HashSet<>();
+
+        @Override
+        public <T> NetworkChannel setOption(SocketOption<T> name, T value) {
+            if (!supportedOptions().contains(name)) {
+                throw new UnsupportedOperationException(name + " not supported");
+            }
+            set.add(name);
+            return this;
+        }
+
+        @Override
+        public Set<SocketOption<?>> supportedOptions() {
+            return Set.of(StandardSocketOptions.SO_REUSEADDR);
+        }
+
+        @Override
+        public <T> T getOption(SocketOption<T> name) {
+            return null;
+        }
+
+        @Override
+        public NetworkChannel bind(SocketAddress local) {
+            return this;
+        }
+
+        @Override
+        public SocketAddress getLocalAddress() {
+            return null;
+        }
+
+        @Override
+        public boolean isOpen() {
+            return true;
+        }
+
+        @Override
+        public void close() {
+            // Holds nothing.
+        }
+    }
+
+    /** Guards the start: the runtime looks once, and a process that looked at the wrong moment must serve. */
+    @Test
+    void aRuntimeThatCannotShareAnAddressServesWithoutThat() throws IOException {
+        WithoutReusePort socket = new WithoutReusePort();
+        assertSame(socket, Door.shared(socket));
+        assertEquals(Set.of(StandardSocketOptions.SO_REUSEADDR), socket.set);
+    }
 }
