--- a/src/main/java/wrenkeel/net/Door.java
+++ b/src/main/java/wrenkeel/net/Door.java
@@ -90,9 +90,18 @@
         return new Door(socket, thread, listener, acceptor);
     }
 
+    /**
+     * The runtime finds out once whether an address can be shared, with a socket of its own: where there was
+     * none just then it says no for ever, and the relay serves without.
+     */
     static NetworkChannel shared(NetworkChannel socket) throws IOException {
-        return socket.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-            .setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        if (socket.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+            socket.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        } else {
+            LOG.warn("the address cannot be shared: no process can take over before this one has ended");
+        }
+        return socket;
     }
 
     InetSocketAddress address() {
