Close the listening socket before the event loop ends

FullFolderTest.aStartThatWaitsCanBeEnded failed in 3 of 22 plays on a crowded machine (load 28): after the end a connect to the clients' address still came up, and /proc/net/tcp showed the socket still listening in the same process. Left to the shutdown of the event loop it was closed too late; why only sometimes was not traced.

--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -386,6 +386,9 @@
             if (loop != null) {
                 loop.stop();
             }
+            if (door != null) {
+                door.close();
+            }
         }).awaitUninterruptibly();
         group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly();
         try {
