--- a/src/main/java/wrenkeel/scale/EndpointModel.java
+++ b/src/main/java/wrenkeel/scale/EndpointModel.java
@@ -7,8 +7,14 @@
  * opens no socket and reads no clock; times are nanoseconds of one clock that does not go back. One thread.
  */
 public final class EndpointModel {
-    /** What an endpoint does with calls: answers them, takes them and stays silent, or has no listener. */
-    public enum Standing { SERVING, SILENT, REFUSING }
+    /** What an endpoint does with calls. */
+    public enum Standing {
+        /** Answers them. */ SERVING,
+        /** Takes them and stays silent. */ SILENT,
+        /** Has no listener. */ REFUSING,
+        /** Answers 500 at once. */ FAILING,
+        /** Answers 503 at once. */ TURNING_AWAY
+    }
 
     /**
      * @param medianMicros median time from a call's last byte to its answer
@@ -108,6 +114,9 @@
         if (fallen && now >= fallenUntil) {
             stand(Standing.SERVING, fallenUntil);
         }
+        if (standing == Standing.FAILING || standing == Standing.TURNING_AWAY) {
+            return new Verdict(standing == Standing.FAILING ? 500 : 503, 0, 0);
+        }
         if (standing != Standing.SERVING || tips(now)) {
             return SILENCE;
         }
