Take out what allowed for pauses of half a second and more

EndReserve keeps back 0.3 s instead of 1.2: two times 0.15 s, before the end is decided and before its notice is written; with the 0.3 s that a deadline lies before its client's and 0.35 s after it, the fourth post of a notice (420 ms after the first) is still in time. ListTiming keeps 0.3 s instead of 0.5 free, for the same two. EventLoopLag remembers a pause for 0.3 s instead of 1 s: what it held up is read in the next passes. ListTimingTest keeps its sums.

--- a/src/main/java/wrenkeel/net/EndReserve.java
+++ b/src/main/java/wrenkeel/net/EndReserve.java
@@ -2,11 +2,11 @@
 
 /**
  * How long before a message's time is up its end is decided at the latest, so that the notice of it is in
- * time although the process pauses just then, or the notice has to be posted twice.
+ * time although the process is held up just then and the notice has to be posted more than once.
  */
 final class EndReserve {
-    /** ms; costs the last attempts of a long-lived message, which have little worth left. */
-    private static final long MOST = 1_200;
+    /** ms; a relay may be held up for 150 before it decides, and again before it writes. */
+    private static final long MOST = 300;
     /** ms; how far before the end of its time the deadline of a new message lies already. */
     private static final long DEADLINE_MARGIN = 300;
     /** Of a message's time this part at most is kept back in all. */
--- a/src/main/java/wrenkeel/net/EventLoopLag.java
+++ b/src/main/java/wrenkeel/net/EventLoopLag.java
@@ -12,7 +12,7 @@
 final class EventLoopLag {
     private static final Logger LOG = LoggerFactory.getLogger(EventLoopLag.class);
     /** A lag is remembered for so long: connections accepted after a pause are read a few passes later. */
-    private static final long REMEMBERED_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long REMEMBERED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     /** A pause of that length or more is logged: it may cost a message its time. */
     private static final long TOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
@@ -60,7 +60,7 @@
         }
     }
 
-    /** The worst lag of the last second in milliseconds, that of a pause not yet over included. */
+    /** The worst lag of late in milliseconds, that of a pause not yet over included. */
     long millis() {
         long now = nanoClock.getAsLong();
         long remembered = now - worstAt > REMEMBERED_NANOS ? 0 : worst;
--- a/src/main/java/wrenkeel/net/ListTiming.java
+++ b/src/main/java/wrenkeel/net/ListTiming.java
@@ -12,8 +12,8 @@
     static final long TOLD_AFTER_RELOAD_MS = 4_000;
     /** Time that the relay has to stop sending once it has the change. */
     static final long STOP_SENDING_MS = 250;
-    /** Kept free for a relay that is slow to get to its timers and sockets. */
-    static final long BUSY_RELAY_MS = 500;
+    /** Kept free for a relay that is held up for 150 ms as it reads, and again as it writes. */
+    static final long HELD_UP_MS = 300;
 
     /** A connect to the agent on the same machine that takes longer never comes up. */
     static final long CONNECT_TIMEOUT_MS = 250;
@@ -39,6 +39,6 @@
 
     /** What is left of a bound for the calls themselves. */
     static long budget(long toldAfterMs) {
-        return toldAfterMs - STOP_SENDING_MS - BUSY_RELAY_MS;
+        return toldAfterMs - STOP_SENDING_MS - HELD_UP_MS;
     }
 }
