Let the soak judge budgets of cold endpoints, with series of signals and crowds

Endpoints of the soak have a limit, come back cold from an outage, and what all relays together send them then is held to the standing test's bound (ColdBudget).

--- a/src/main/java/wrenkeel/scale/Traffic.java
+++ b/src/main/java/wrenkeel/scale/Traffic.java
@@ -21,4 +21,9 @@
     public record ClassShare(String name, double share, long lifeMillis, boolean keyed) { }
 
     public record TenantShare(String name, double share) { }
+
+    /** Share of all messages that go to a destination, 0 to 1. */
+    public double share(int destination) {
+        return new ZipfSampler(destinations, exponent).share(destination);
+    }
 }
--- a/src/main/java/wrenkeel/soak/History.java
+++ b/src/main/java/wrenkeel/soak/History.java
@@ -79,6 +79,12 @@
     private final Map<Integer, List<Span>> troubled = new HashMap<>();
     /** By relay: reads of its sockets failed, which ends connections of clients. */
     private final Map<Integer, List<Span>> cut = new HashMap<>();
+    /** By relay: idle clients took all places, new connections may be shut unread. */
+    private final Map<Integer, List<Span>> crowded = new HashMap<>();
+    /** By endpoint: its outages, after each of which it is cold. */
+    private final Map<Integer, List<Span>> outages = new HashMap<>();
+    /** By endpoint: calls a second that it takes when warm. */
+    private final Map<Integer, Double> capacities = new HashMap<>();
     /** By relay: nothing could be told to its agent. */
     private final Map<Integer, List<Span>> untold = new HashMap<>();
     /** By endpoint: its link or itself was in trouble. */
@@ -149,6 +155,18 @@
         cut.computeIfAbsent(relay, r -> new ArrayList<>()).add(span);
     }
 
+    synchronized void crowded(int relay, Span span) {
+        crowded.computeIfAbsent(relay, r -> new ArrayList<>()).add(span);
+    }
+
+    synchronized void outage(int endpoint, Span span) {
+        outages.computeIfAbsent(endpoint, e -> new ArrayList<>()).add(span);
+    }
+
+    synchronized void capacity(int endpoint, double callsPerSecond) {
+        capacities.put(endpoint, callsPerSecond);
+    }
+
     synchronized void untold(int relay, Span span) {
         untold.computeIfAbsent(relay, r -> new ArrayList<>()).add(span);
     }
@@ -193,6 +211,18 @@
         return List.copyOf(cut.getOrDefault(relay, List.of()));
     }
 
+    synchronized List<Span> crowded(int relay) {
+        return List.copyOf(crowded.getOrDefault(relay, List.of()));
+    }
+
+    synchronized Map<Integer, List<Span>> outages() {
+        return Map.copyOf(outages);
+    }
+
+    synchronized Map<Integer, Double> capacities() {
+        return Map.copyOf(capacities);
+    }
+
     synchronized List<Span> untold(int relay) {
         return List.copyOf(untold.getOrDefault(relay, List.of()));
     }
--- a/src/main/java/wrenkeel/soak/Oracle.java
+++ b/src/main/java/wrenkeel/soak/Oracle.java
@@ -30,6 +30,10 @@
     private static final int UNSERVED = 15;
     private static final long UNSERVED_MILLIS = 4_000;
 
+    /** How endpoints of the soak come back from an outage, as the relays' settings tell it. */
+    static final double COLD_FROM = 0.2, FALL_MULTIPLE = 2;
+    static final long COLD_MILLIS = 10_000, TIP_MILLIS = 2_000;
+
     private final History history;
     private final List<Finding> findings;
 
@@ -46,6 +50,7 @@
         }
         oracle.judgeWaits();
         oracle.judgeDrains();
+        oracle.judgeColdBudgets();
         oracle.judgeBadPeers();
         oracle.judgeService();
         oracle.findings.sort(Comparator.comparingLong(Finding::atMillis));
@@ -63,7 +68,8 @@
         }
         judgeRuns(m, who);
         if (m.cutOff && overlaps(history.dead(m.relay), m.handedInAt, m.endedAt + SLACK) == null
-            && overlaps(history.cut(m.relay), m.handedInAt - SLACK, m.endedAt + SLACK) == null) {
+            && overlaps(history.cut(m.relay), m.handedInAt - SLACK, m.endedAt + SLACK) == null
+            && overlaps(history.crowded(m.relay), m.handedInAt - SLACK, m.endedAt + SLACK) == null) {
             found("closed unanswered", m.endedAt, who);
         }
         if (m.effect == History.Effect.UNSAFE && m.handedBack && !m.runs.isEmpty()) {
@@ -166,6 +172,26 @@
         }
     }
 
+    /** All relays together count, whatever each of them has been told: what an endpoint bears is one sum. */
+    private void judgeColdBudgets() {
+        history.outages().forEach((endpoint, outages) -> {
+            double capacity = history.capacities().get(endpoint);
+            ColdBudget budget = new ColdBudget(capacity, COLD_FROM, COLD_MILLIS, FALL_MULTIPLE, TIP_MILLIS);
+            for (History.Span outage : outages) {
+                long next = outages.stream().mapToLong(History.Span::from).filter(from -> from > outage.to())
+                    .min().orElse(Long.MAX_VALUE);
+                List<Long> calls = history.calls().stream().filter(call -> call.endpoint() == endpoint)
+                    .map(History.Call::at).filter(at -> at < next).sorted().toList();
+                ColdBudget.Worst worst = budget.worst(outage.to(), calls);
+                if (worst.ratio() > 1) {
+                    found("cold endpoint overrun", worst.atMillis(), "endpoint " + endpoint + ", out until "
+                        + outage.to() + ": " + worst.calls() + " calls in " + TIP_MILLIS + " ms, it bears "
+                        + Math.round(worst.bound()));
+                }
+            }
+        });
+    }
+
     private void judgeBadPeers() {
         for (History.BadPeer peer : history.badPeers()) {
             long due = peer.connectedAt() + BAD_PEER + SLACK;
@@ -187,7 +213,8 @@
             all.sort(Comparator.comparingLong(m -> m.handedInAt));
             for (History.Message m : all) {
                 long from = m.handedInAt - SLACK;
-                boolean excused = overlaps(history.down(relay), from, m.handedInAt + 1_000) != null;
+                boolean excused = overlaps(history.down(relay), from, m.handedInAt + 1_000) != null
+                    || overlaps(history.crowded(relay), from, m.handedInAt + 1_000) != null;
                 if (m.status != 0 || excused) {
                     unserved.clear();
                     continue;
--- a/src/main/java/wrenkeel/soak/RelayHandle.java
+++ b/src/main/java/wrenkeel/soak/RelayHandle.java
@@ -106,12 +106,12 @@
                 process.beginEnd();
                 process.awaitEnd(Duration.ofMillis(KILL_AFTER_TERM));
             }
-            case TERMINATE_TWICE -> {
+            case TERMINATE_TWICE, SIGNAL_SERIES -> {
                 process.beginEnd();
                 TimeUnit.MILLISECONDS.sleep(START_AFTER_END / 2);
                 process.signal("HUP");
                 process.beginEnd();
-                process.awaitEnd(Duration.ofMillis(KILL_AFTER_TERM));
+                process.awaitEnd(Duration.ofMillis(KILL_AFTER_TERM - START_AFTER_END / 2));
             }
             case KILL_WHILE_LEAVING -> {
                 process.beginEnd();
@@ -119,15 +119,25 @@
             }
             default -> { }
         }
+        boolean serves = killAndStart(from);
+        if (serves && how == TroubleKind.SIGNAL_SERIES) {
+            TimeUnit.MILLISECONDS.sleep(START_AFTER_END);
+            serves = killAndStart(clock.getAsLong());
+        }
+        if (serves) {
+            changing.set(false);
+        }
+    }
+
+    /** SIGKILL, and the next start; {@code from}: when the first signal came. False if it does not serve. */
+    private boolean killAndStart(long from) throws InterruptedException {
         long gone = clock.getAsLong();
         process.kill();
         TimeUnit.MILLISECONDS.sleep(START_AFTER_END);
         boolean serves = start();
         history.down(number, new History.Span(from, serves ? readyAt : Long.MAX_VALUE));
         history.dead(number, new History.Span(gone, serves ? readyAt : Long.MAX_VALUE));
-        if (serves) {
-            changing.set(false);
-        }
+        return serves;
     }
 
     /** A new configuration that names another address of discovery; not in a process's first second. */
--- a/src/main/java/wrenkeel/soak/SoakRun.java
+++ b/src/main/java/wrenkeel/soak/SoakRun.java
@@ -9,12 +9,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.concurrent.Callable;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import wrenkeel.Wire;
 import wrenkeel.scale.CallObserver;
@@ -37,10 +39,13 @@
     private static final int TAIL_MILLIS = 6_500;
     private static final double EVENTS_PER_SECOND = 12;
     private static final int THREADS = 3, CONNECTIONS_MOST = 100, BODY_BYTES = 200;
-    private static final long CLIENT_PATIENCE = 400;
+    private static final long CLIENT_PATIENCE = 400, ANSWER_MICROS = 25_000;
+    private static final double ANSWER_SIGMA = 0.6;
     /** Bits of a message's sequence number below that of its relay. */
     private static final int RELAY_SHIFT = 32;
     private static final long PAUSE_MILLIS = 150, STEP_MILLIS = 100;
+    /** What an endpoint takes, of what goes to it in the mean. */
+    private static final double CAPACITY_OVER_TRAFFIC = 1.5;
     private static final int HOUR_SECONDS = 3_600;
     private static final List<RelaySettings.Profile> PROFILES = List.of(
         new RelaySettings.Profile("notice", 1_000, 4_000, "dedup", 3_000),
@@ -63,9 +68,12 @@
     });
     private final StandInDestinations destinations;
     private final StandInAgent agent;
+    private final Traffic traffic;
     private final List<FaultProxy> links = new ArrayList<>();
     private final List<RelayHandle> relays = new ArrayList<>();
     private final List<StandInClients> clients = new ArrayList<>();
+    /** Endpoints that are out just now: one outage at a time. */
+    private final Set<Integer> out = ConcurrentHashMap.newKeySet();
     private volatile long beganNanos = System.nanoTime();
 
     SoakRun(Path root, long seed, int relayCount, int clusters, boolean trace)
@@ -74,7 +82,8 @@
         schedule = Schedule.of(seed, relayCount, ENDPOINTS, clusters, TROUBLE_MILLIS);
         folder = Files.createTempDirectory("soak");
         Path library = Shim.compile(root, folder);
-        destinations = new StandInDestinations(ENDPOINTS, EndpointModel.Behaviour.unlimited(25_000, 0.6), 1,
+        destinations = new StandInDestinations(ENDPOINTS, 
+            EndpointModel.Behaviour.unlimited(ANSWER_MICROS, ANSWER_SIGMA), 1,
             THREADS, seed, System::nanoTime);
         for (int port : destinations.ports()) {
             links.add(new FaultProxy(loops, new java.net.InetSocketAddress("127.0.0.1", port)));
@@ -83,6 +92,10 @@
         HostCatalog catalog = new HostCatalog(ENDPOINTS, seed,
             host -> "127.0.0.1:" + links.get(host).address().getPort());
         agent = new StandInAgent(catalog, this::noticed);
+        traffic = new Traffic(catalog.destinations(), 0.5, BODY_BYTES, CLASSES, List.of(), CONNECTIONS_MOST);
+        for (int endpoint = 0; endpoint < ENDPOINTS; endpoint++) {
+            limit(endpoint, relayCount);
+        }
         RelaySettings settings = RelaySettings.typical("n").withRelays(relayCount).withProfiles(PROFILES);
         for (int i = 0; i < relayCount; i++) {
             relays.add(new RelayHandle(i, root, folder, library, settings.named("n" + i), trace,
@@ -90,6 +103,19 @@
         }
     }
 
+    /** Gives an endpoint its limit, from which it falls in an outage and comes back to in its cold time. */
+    private void limit(int endpoint, int relayCount) {
+        int destination = HostCatalog.destination(endpoint);
+        long siblings = IntStream.range(0, ENDPOINTS)
+            .filter(other -> HostCatalog.destination(other) == destination).count();
+        double mean = traffic.share(destination) * EVENTS_PER_SECOND * relayCount / siblings;
+        double capacity = CAPACITY_OVER_TRAFFIC * mean;
+        history.capacity(endpoint, capacity);
+        destinations.behave(endpoint, EndpointModel.Behaviour.unlimited(ANSWER_MICROS, ANSWER_SIGMA)
+            .with(new EndpointModel.Limit(capacity, 1_000, false, false))
+            .with(new EndpointModel.Cold(Oracle.COLD_FROM, Oracle.COLD_MILLIS, 0, Oracle.TIP_MILLIS, 0)));
+    }
+
     Schedule schedule() {
         return schedule;
     }
@@ -107,8 +133,6 @@
     List<Finding> play() throws InterruptedException, ExecutionException {
         await(relays.stream().map(relay -> tasks.submit(relay::start)).toList());
         beganNanos = System.nanoTime();
-        Traffic traffic = new Traffic(HostCatalog.destination(ENDPOINTS - 1) + 1, 0.5, BODY_BYTES, CLASSES,
-            List.of(), CONNECTIONS_MOST);
         for (RelayHandle relay : relays) {
             StandInClients own = new StandInClients(relay.address, traffic, seed + relay.number,
                 CLIENT_PATIENCE, (long) relay.number << RELAY_SHIFT, new Clients());
@@ -217,6 +241,7 @@
                 history.troubled(relay, span);
                 history.untold(relay, span);
             }
+            case CROWD -> history.crowded(relay, span);
             case RELOAD, AGENT_SILENT, CONNECT_FAILS, SOCKET_FAILS, LATE_WRITES, PAUSES, SHORT_CALLS ->
                 history.troubled(relay, span);
             default -> { }
@@ -245,7 +270,8 @@
     private void trouble(RelayHandle relay, Trouble t) throws IOException, InterruptedException {
         Shim shim = relay.shim;
         switch (t.kind()) {
-            case KILL, TERMINATE, TERMINATE_TWICE, KILL_WHILE_LEAVING -> relay.replace(t.kind());
+            case KILL, TERMINATE, TERMINATE_TWICE, KILL_WHILE_LEAVING, SIGNAL_SERIES ->
+                relay.replace(t.kind());
             case RELOAD -> relay.reload();
             case PAUSES -> repeat(t, 2 * PAUSE_MILLIS, () -> relay.pause(PAUSE_MILLIS));
             case CLOCK_FORWARD, CLOCK_BACK -> {
@@ -279,6 +305,11 @@
                 TimeUnit.MILLISECONDS.sleep(t.lengthMillis());
                 link.set(FaultProxy.Mode.PASS);
             }
+            case CROWD -> {
+                try (Crowd crowd = new Crowd(relay.address)) {
+                    TimeUnit.MILLISECONDS.sleep(t.lengthMillis());
+                }
+            }
             case BAD_CLIENTS -> repeat(t, STEP_MILLIS, () -> badClient(relay));
             default -> throw new IllegalArgumentException(t.toString());
         }
@@ -306,6 +337,7 @@
         switch (t.kind()) {
             case ENDPOINT_SILENT -> standFor(endpoint, EndpointModel.Standing.SILENT, t);
             case ENDPOINT_DOWN -> standFor(endpoint, EndpointModel.Standing.REFUSING, t);
+            case ENDPOINT_FAILS -> standFor(endpoint, EndpointModel.Standing.FAILING, t);
             case ENDPOINT_SHUT -> {
                 destinations.shut(endpoint, t.lengthMillis());
                 return;
@@ -327,9 +359,15 @@
 
     private void standFor(int endpoint, EndpointModel.Standing standing, Trouble t)
         throws InterruptedException {
+        if (!out.add(endpoint)) {
+            return;
+        }
+        long from = now();
         destinations.stand(endpoint, standing);
         TimeUnit.MILLISECONDS.sleep(t.lengthMillis());
         destinations.stand(endpoint, EndpointModel.Standing.SERVING);
+        history.outage(endpoint, new History.Span(from, now()));
+        out.remove(endpoint);
     }
 
     private static void setFor(FaultProxy link, FaultProxy.Mode mode, Trouble t) throws InterruptedException {
--- a/src/main/java/wrenkeel/soak/TroubleKind.java
+++ b/src/main/java/wrenkeel/soak/TroubleKind.java
@@ -10,6 +10,8 @@
     TERMINATE_TWICE(Target.RELAY, 0, 0),
     /** SIGKILL in the middle of the orderly end. */
     KILL_WHILE_LEAVING(Target.RELAY, 0, 0),
+    /** SIGTERM twice, SIGHUP, SIGKILL; started again, and SIGKILL once more soon after that. */
+    SIGNAL_SERIES(Target.RELAY, 0, 0),
     /** SIGHUP with another address of discovery; the old one closes 1.5 s later. */
     RELOAD(Target.RELAY, 0, 0),
     /** Held up for 0.15 s, again and again. */
@@ -38,12 +40,16 @@
     AGENT_SILENT(Target.RELAY, 1_000, 7_000),
     /** The relay's agent resets connections. */
     AGENT_RESETS(Target.RELAY, 300, 3_000),
+    /** Clients that connect, say nothing and stay, more than the relay has descriptors for. */
+    CROWD(Target.RELAY, 1_000, 4_000),
     /** Clients that send half a request, nothing, or garbage. */
     BAD_CLIENTS(Target.RELAY, 500, 4_000),
     /** The endpoint takes calls and does not answer. */
     ENDPOINT_SILENT(Target.ENDPOINT, 1_000, 6_000),
     /** The endpoint has no listener. */
     ENDPOINT_DOWN(Target.ENDPOINT, 1_000, 6_000),
+    /** The endpoint answers 500 at once. */
+    ENDPOINT_FAILS(Target.ENDPOINT, 1_000, 6_000),
     /** The endpoint turns all calls away and tells to wait. */
     ENDPOINT_SHUT(Target.ENDPOINT, 500, 3_000),
     /** The endpoint drains by the list, and is ready again after that. */
@@ -82,6 +88,9 @@
 
     /** True where the relay's process ends and begins anew. */
     boolean endsProcess() {
-        return this == KILL || this == TERMINATE || this == TERMINATE_TWICE || this == KILL_WHILE_LEAVING;
+        return switch (this) {
+            case KILL, TERMINATE, TERMINATE_TWICE, KILL_WHILE_LEAVING, SIGNAL_SERIES -> true;
+            default -> false;
+        };
     }
 }
--- a/src/test/java/wrenkeel/soak/OracleTest.java
+++ b/src/test/java/wrenkeel/soak/OracleTest.java
@@ -115,6 +115,38 @@
         assertEquals(List.of(), broken());
     }
 
+    @Test
+    void aColdEndpointBearsOnlySoManyCallsOfAllRelaysTogether() {
+        history.capacity(ENDPOINT, 20);
+        history.outage(ENDPOINT, new Span(4_000, 10_000));
+        for (int i = 0; i < 31; i++) {
+            history.called(new History.Call(i, ENDPOINT, DESTINATION, "m" + i, 10_000 + i * 60, 0), false);
+        }
+        assertEquals(List.of(), broken(), "16 calls, 3 roots of that and 3 more");
+        history.called(new History.Call(31, ENDPOINT, DESTINATION, "m31", 11_900, 0), false);
+        assertEquals(List.of("cold endpoint overrun"), broken());
+    }
+
+    @Test
+    void anEndpointThatIsWarmOrOutAgainIsNotJudged() {
+        history.capacity(ENDPOINT, 20);
+        history.outage(ENDPOINT, new Span(4_000, 10_000));
+        history.outage(ENDPOINT, new Span(10_500, 60_000));
+        for (int i = 0; i < 200; i++) {
+            history.called(new History.Call(i, ENDPOINT, DESTINATION, "m" + i, 10_500 + i, 0), false);
+            history.called(new History.Call(i, ENDPOINT, DESTINATION, "n" + i, 70_000 + i, 0), false);
+        }
+        assertEquals(List.of(), broken());
+    }
+
+    @Test
+    void aNewcomerOfACrowdedRelayMayBeShutUnread() {
+        history.handedIn(new History.Message("a", RELAY, DESTINATION, Effect.SAFE, 0, 100, 2_000));
+        history.ended("a", 0, true, 150);
+        history.crowded(RELAY, new Span(50, 900));
+        assertEquals(List.of(), broken());
+    }
+
     @Test
     void aBadPeerMustBeAnsweredOrClosedInTime() {
         history.badPeer(new History.BadPeer(RELAY, "SILENT", 100, 3_000));
