--- a/src/main/java/wrenkeel/SlowStart.java
+++ b/src/main/java/wrenkeel/SlowStart.java
@@ -82,7 +82,7 @@
         return rules.tipAfter() + HELD_UP;
     }
 
-    /** How warm a destination is that has been back for so long, 0 to 1; that of a window's first moment. */
+    /** How warm a destination is that has been back for so long, 0 to 1, in the middle of a window. */
     static double warmth(Rules rules, long backFor) {
         double age = Math.max(0, backFor - rules.tipAfter() / 2);
         return rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, age / Math.max(1, rules.cold()));
