--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -234,8 +234,9 @@
     void anUnsafeMessageThatNeverRanIsSentAfterARestart() throws Exception {
         try (Node relay = relay(); var client = new Platform.Client(relay)) {
             assertEquals(TAKEN, client.post("a", "pay", 7, 60_000).get(0));
+            Host.Call call = host.call();
             long before = Files.size(platform.journal());
-            host.call().answer("HTTP/1.1 429 Too Many Requests\r\nRetry-After: 50.5\r\nContent-Length: 0\r\n\r\n");
+            call.answer("HTTP/1.1 429 Too Many Requests\r\nRetry-After: 50.5\r\nContent-Length: 0\r\n\r\n");
             while (Files.size(platform.journal()) == before) {
                 Thread.sleep(5);
             }
