--- a/src/main/java/wrenkeel/soak/SoakRun.java
+++ b/src/main/java/wrenkeel/soak/SoakRun.java
@@ -74,6 +74,8 @@
     private final List<StandInClients> clients = new ArrayList<>();
     /** Endpoints that are out just now: one outage at a time. */
     private final Set<Integer> out = ConcurrentHashMap.newKeySet();
+    /** The same for drains. */
+    private final Set<Integer> draining = ConcurrentHashMap.newKeySet();
     private volatile long beganNanos = System.nanoTime();
 
     SoakRun(Path root, long seed, int relayCount, int clusters, boolean trace)
@@ -343,10 +345,14 @@
                 return;
             }
             case ENDPOINT_DRAINS -> {
+                if (!draining.add(endpoint)) {
+                    return;
+                }
                 agent.change(endpoint, HostCatalog.Health.DRAINING);
                 TimeUnit.MILLISECONDS.sleep(t.lengthMillis());
                 history.draining(endpoint, new History.Span(from, now()));
                 agent.change(endpoint, HostCatalog.Health.READY);
+                draining.remove(endpoint);
                 return;
             }
             case LINK_SILENT -> setFor(link, FaultProxy.Mode.SILENT, t);
