Let the simulation of a fleet play outages of shapes drawn from a seed

OutageShape draws length, way to fail, traffic before, in and after, load, size of the fleet, kills, a lowered limit and a second outage from one seed; it lies in soak/ so that runs with real relays can use it. FleetSimulation and SimulatedDestination take a shape in place of constants.

--- a/src/test/java/wrenkeel/ColdReturnTest.java
+++ b/src/test/java/wrenkeel/ColdReturnTest.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.api.function.Executable;
@@ -18,7 +19,7 @@
 import wrenkeel.FleetSimulation.Result;
 import wrenkeel.FleetSimulation.Scenario;
 import wrenkeel.Relay.Weights;
-import wrenkeel.SimulatedDestination.Outage;
+import wrenkeel.soak.OutageShape.Failure;
 
 /**
  * A destination that returns cold from an outage fails again if all relays of a fleet together send it more
@@ -41,7 +42,7 @@
      *
      * @param check receives a description of the run and its result
      */
-    private static void runFleets(Weights weights, Outage outage, BiConsumer<String, Result> check) {
+    private static void runFleets(Weights weights, Failure outage, BiConsumer<String, Result> check) {
         List<Executable> checks = new ArrayList<>();
         for (int relays : FLEET_SIZES) {
             double maxRatio = 0;
@@ -78,41 +79,41 @@
 
     @Test
     void budgetHoldsWithoutListedLimitsAfterRefusedConnections() {
-        runFleets(Weights.NONE, Outage.CONNECTION_REFUSED, ColdReturnTest::assertWithinBudget);
+        runFleets(Weights.NONE, Failure.CONNECTION_REFUSED, ColdReturnTest::assertWithinBudget);
     }
 
     @Test
     void budgetHoldsWithoutListedLimitsAfterRejections() {
-        runFleets(Weights.NONE, Outage.REJECTED_WITH_WAIT, ColdReturnTest::assertWithinBudget);
+        runFleets(Weights.NONE, Failure.REJECTED_WITH_WAIT, ColdReturnTest::assertWithinBudget);
     }
 
     @Test
     void informedRelaysKeepTheBudgetWithoutListedLimitsAfterSilence() {
-        runFleets(Weights.NONE, Outage.NO_RESPONSE, ColdReturnTest::assertInformedRelaysWithinBudget);
+        runFleets(Weights.NONE, Failure.NO_RESPONSE, ColdReturnTest::assertInformedRelaysWithinBudget);
     }
 
     @Test
     void budgetHoldsWithListedLimitsAfterRefusedConnections() {
-        runFleets(Weights.NOMINAL, Outage.CONNECTION_REFUSED, ColdReturnTest::assertWithinBudget);
-        runFleets(Weights.ROUGH, Outage.CONNECTION_REFUSED, ColdReturnTest::assertWithinBudget);
+        runFleets(Weights.NOMINAL, Failure.CONNECTION_REFUSED, ColdReturnTest::assertWithinBudget);
+        runFleets(Weights.ROUGH, Failure.CONNECTION_REFUSED, ColdReturnTest::assertWithinBudget);
     }
 
     @Test
     void informedRelaysKeepTheBudgetWithListedLimitsAfterSilence() {
-        runFleets(Weights.NOMINAL, Outage.NO_RESPONSE, ColdReturnTest::assertInformedRelaysWithinBudget);
-        runFleets(Weights.ROUGH, Outage.NO_RESPONSE, ColdReturnTest::assertInformedRelaysWithinBudget);
+        runFleets(Weights.NOMINAL, Failure.NO_RESPONSE, ColdReturnTest::assertInformedRelaysWithinBudget);
+        runFleets(Weights.ROUGH, Failure.NO_RESPONSE, ColdReturnTest::assertInformedRelaysWithinBudget);
     }
 
     @Test
     void budgetHoldsWithListedLimitsAfterRejections() {
-        runFleets(Weights.NOMINAL, Outage.REJECTED_WITH_WAIT, ColdReturnTest::assertWithinBudget);
-        runFleets(Weights.ROUGH, Outage.REJECTED_WITH_WAIT, ColdReturnTest::assertWithinBudget);
+        runFleets(Weights.NOMINAL, Failure.REJECTED_WITH_WAIT, ColdReturnTest::assertWithinBudget);
+        runFleets(Weights.ROUGH, Failure.REJECTED_WITH_WAIT, ColdReturnTest::assertWithinBudget);
     }
 
     /** A relay that sent little before the outage still finds out in time that the destination is back. */
     @Test
     void fewMessagesOfALargeFleetEndWithoutACall() {
-        for (Outage outage : List.of(Outage.CONNECTION_REFUSED, Outage.NO_RESPONSE)) {
+        for (Failure outage : List.of(Failure.CONNECTION_REFUSED, Failure.NO_RESPONSE)) {
             double withoutCallShare = 0;
             for (long seed = 1; seed <= SEED_COUNT; seed++) {
                 Scenario scenario = new Scenario(120, outage, Weights.NONE, CAPACITY, seed);
@@ -138,21 +139,24 @@
     }
 
     /** Outages in which calls are rejected as over a limit. */
-    private static final Set<Outage> REFUSING_OUTAGES =
-        EnumSet.of(Outage.REJECTED_WITH_WAIT, Outage.REJECTED);
+    private static final Set<Failure> REFUSING_OUTAGES =
+        EnumSet.of(Failure.REJECTED_WITH_WAIT, Failure.REJECTED);
     /** Outages in which calls fail. */
-    private static final Set<Outage> FAILING_OUTAGES = EnumSet.complementOf(EnumSet.copyOf(REFUSING_OUTAGES));
+    private static final Set<Failure> FAILING_OUTAGES = EnumSet.of(Failure.CONNECTION_REFUSED,
+        Failure.NO_RESPONSE, Failure.ERROR_RESPONSE, Failure.CONNECTION_RESET);
+    private static final Set<Failure> ALL_OUTAGES = EnumSet.copyOf(
+        Stream.of(REFUSING_OUTAGES, FAILING_OUTAGES).flatMap(Set::stream).toList());
 
     /** Scenarios of 44 relays; each of these shares of them is restarted around the destination's return. */
-    private static List<Scenario> restartScenarios(Set<Outage> outages, RestartState state,
+    private static List<Scenario> restartScenarios(Set<Failure> outages, RestartState state,
                                                    double... shares) {
         List<Scenario> scenarios = new ArrayList<>();
-        for (Outage outage : outages) {
+        for (Failure outage : outages) {
             for (Weights weights : List.of(Weights.NONE, Weights.NOMINAL)) {
                 for (double capacity : new double[] {20, 60}) {
                     for (long millis : RESTART_TIMES_MS) {
                         for (double share : shares) {
-                            long at = SimulatedDestination.firstReturnAt() + millis * FleetSimulation.MS;
+                            long at = Scenario.firstReturnAt() + millis * FleetSimulation.MS;
                             for (long seed = 1; seed <= 3; seed++) {
                                 scenarios.add(new Scenario(44, outage, weights, capacity, seed)
                                     .withRestarts(new Restart(at, share, state)));
@@ -180,25 +184,25 @@
     @Test
     void oneRelayThatLostItsStateFolderDoesNotOverloadTheDestination() {
         assertInformedRelaysKeepTheBudget(
-            restartScenarios(EnumSet.allOf(Outage.class), RestartState.NO_STATE, 0.02));
+            restartScenarios(ALL_OUTAGES, RestartState.NO_STATE, 0.02));
     }
 
     @Test
     void manyRelaysThatLostTheirFoldersStayTold() {
         assertInformedRelaysKeepTheBudget(
-            restartScenarios(EnumSet.allOf(Outage.class), RestartState.NO_STATE, 0.7, 1));
+            restartScenarios(ALL_OUTAGES, RestartState.NO_STATE, 0.7, 1));
     }
 
     @Test
     void relaysReplacedAroundTheReturnKeepTheBudget() {
         assertInformedRelaysKeepTheBudget(
-            restartScenarios(EnumSet.allOf(Outage.class), RestartState.HANDOVER, 0.02, 0.7, 1));
+            restartScenarios(ALL_OUTAGES, RestartState.HANDOVER, 0.02, 0.7, 1));
     }
 
     @Test
     void relaysKilledAgainInSlowStartKeepTheBudget() {
         List<Scenario> scenarios = new ArrayList<>();
-        for (Scenario once : restartScenarios(EnumSet.allOf(Outage.class), RestartState.STATE_FOLDER, 0.7)) {
+        for (Scenario once : restartScenarios(ALL_OUTAGES, RestartState.STATE_FOLDER, 0.7)) {
             Restart first = once.restarts().get(0);
             Restart second = new Restart(first.at() + 2 * FleetSimulation.SECOND, 0.7,
                 RestartState.STATE_FOLDER);
@@ -208,15 +212,15 @@
     }
 
     /** Scenarios of one to 120 relays and various capacities: uneven traffic, even traffic, two outages. */
-    private static List<Scenario> fleetSizeScenarios(Set<Outage> outages) {
+    private static List<Scenario> fleetSizeScenarios(Set<Failure> outages) {
         List<Scenario> scenarios = new ArrayList<>();
-        for (Outage outage : outages) {
+        for (Failure outage : outages) {
             for (Weights weights : Weights.values()) {
                 for (int relays : new int[] {1, 4, 44, 120}) {
                     for (double capacity : new double[] {4, 20, 60, 250}) {
                         Scenario uneven = new Scenario(relays, outage, weights, capacity, 1);
                         scenarios.addAll(
-                            List.of(uneven, uneven.withEvenTraffic(), uneven.withOutageCount(2)));
+                            List.of(uneven, uneven.withEvenTraffic(), uneven.withTwoOutages()));
                     }
                 }
             }
--- a/src/test/java/wrenkeel/FleetSimulation.java
+++ b/src/test/java/wrenkeel/FleetSimulation.java
@@ -9,7 +9,10 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import wrenkeel.Relay.*;
-import wrenkeel.SimulatedDestination.Outage;
+import wrenkeel.soak.OutageShape;
+import wrenkeel.soak.OutageShape.Burst;
+import wrenkeel.soak.OutageShape.Failure;
+import wrenkeel.soak.OutageShape.QuietSpell;
 
 /**
  * Simulates a fleet of relays, each with its own {@link Control}, that send to one
@@ -38,36 +41,58 @@
     /**
      * The parameters of a run.
      *
-     * @param relays number of relays in the fleet
-     * @param busyFactor multiple of the usual traffic that one in ten relays gets
-     * @param outage how calls fail during an outage
-     * @param outageCount number of outages
-     * @param weights how exact the listed limits are
-     * @param capacity calls a second that the warm destination accepts from all relays together
-     * @param seed seed of all random numbers
+     * @param shape the outage, the traffic and the size of the fleet
+     * @param tailMicros time from the end of the last outage to the end of the run
      * @param restarts restarts of relays during the run
      */
-    record Scenario(int relays, int busyFactor, Outage outage, int outageCount, Weights weights,
-                    double capacity, long seed, List<Restart> restarts) {
-        /** One outage, busy relays with five times the usual traffic, no restarts. */
-        Scenario(int relays, Outage outage, Weights weights, double capacity, long seed) {
-            this(relays, 5, outage, 1, weights, capacity, seed, List.of());
+    record Scenario(OutageShape shape, long tailMicros, List<Restart> restarts) {
+        /** Start of the first outage, unless a shape says otherwise. */
+        static final long FIRST_OUTAGE_MS = 40_000;
+        /** Duration of an outage, unless a shape says otherwise. */
+        static final long OUTAGE_MS = 10_000;
+        private static final long OUTAGE_INTERVAL_MS = 16_000;
+
+        /** One outage of two endpoints, busy relays with five times the usual traffic, no restarts. */
+        Scenario(int relays, Failure failure, Weights weights, double capacity, long seed) {
+            this(new OutageShape(seed, relays, 2, OFFERED_LOAD_SHARE * capacity, 5, capacity, weights,
+                LIFE_MICROS / MS, failure, FIRST_OUTAGE_MS, OUTAGE_MS, 1, OUTAGE_INTERVAL_MS, 1,
+                QuietSpell.NONE, Burst.NONE, OutageShape.Restart.NONE), 50 * SECOND, List.of());
+        }
+
+        /** A drawn shape; the run ends when the destination is warm. */
+        Scenario(OutageShape shape) {
+            this(shape, RULES.warmUpTime(), shape.restart().share() == 0 ? List.of()
+                : List.of(new Restart(
+                    (shape.startMillis() + shape.outageMillis() + shape.restart().afterReturnMillis()) * MS,
+                    shape.restart().share(), RestartState.STATE_FOLDER)));
+        }
+
+        /** The time of the first return to service, unless a shape says otherwise. */
+        static long firstReturnAt() {
+            return (FIRST_OUTAGE_MS + OUTAGE_MS) * MS;
         }
 
         /** The same scenario with these restarts only. */
         Scenario withRestarts(Restart... newRestarts) {
-            return new Scenario(relays, busyFactor, outage, outageCount, weights, capacity, seed,
-                List.of(newRestarts));
+            return new Scenario(shape, tailMicros, List.of(newRestarts));
         }
 
-        /** The same scenario with another number of outages. */
-        Scenario withOutageCount(int count) {
-            return new Scenario(relays, busyFactor, outage, count, weights, capacity, seed, restarts);
+        /** The same scenario with two outages. */
+        Scenario withTwoOutages() {
+            return withTraffic(shape.busyFactor(), 2);
         }
 
         /** The same scenario with the same traffic for each relay. */
         Scenario withEvenTraffic() {
-            return new Scenario(relays, 1, outage, outageCount, weights, capacity, seed, restarts);
+            return withTraffic(1, shape.outageCount());
+        }
+
+        private Scenario withTraffic(int busyFactor, int outageCount) {
+            return new Scenario(new OutageShape(shape.seed(), shape.relays(), shape.endpoints(),
+                shape.messagesPerSecond(), busyFactor, shape.capacityPerSecond(), shape.weights(),
+                shape.lifetimeMillis(), shape.failure(), shape.startMillis(), shape.outageMillis(), outageCount,
+                shape.intervalMillis(), shape.limitFactor(), shape.quietSpell(), shape.burst(),
+                shape.restart()), tailMicros, restarts);
         }
     }
 
@@ -98,7 +123,7 @@
     private static final double OFFERED_LOAD_SHARE = 0.75;
     /** One in so many relays is busy. */
     private static final int RELAYS_PER_BUSY_RELAY = 10;
-    private static final long[] ENDPOINT_IDS = {11, 12};
+    private static final long FIRST_ENDPOINT_ID = 11;
     /** The rules that bind all relays, and the warm-up that the destination follows. */
     static final Rules RULES = new Rules(250 * MS, 2, 2 * SECOND, 0.2, 10 * SECOND, 50 * MS, 20 * MS);
 
@@ -114,20 +139,19 @@
     private static final class Message {
         final String id;
         final long deadline;
+        /** The latest time at which a delivery is within the target time. */
+        final long aimTime;
         final List<EarlierAttempt> attempts = new ArrayList<>();
         /** True once it was delivered, refused or failed, or was lost with its relay's machine. */
         boolean finished;
         boolean deliveredInAim;
 
-        Message(String id, long deadline) {
+        Message(String id, long deadline, long aimTime) {
             this.id = id;
             this.deadline = deadline;
+            this.aimTime = aimTime;
         }
 
-        /** The latest time at which a delivery is within the target time. */
-        long aimTime() {
-            return deadline - LIFE_MICROS + AIM_MICROS;
-        }
     }
 
     /** One relay, its present process and its messages. */
@@ -272,7 +296,7 @@
             }
             ended = true;
             relay.informed |= outcome != Outcome.OK && destination.isOut(now);
-            message.deliveredInAim |= outcome == Outcome.OK && now <= message.aimTime();
+            message.deliveredInAim |= outcome == Outcome.OK && now <= message.aimTime;
             message.finished |= outcome == Outcome.OK;
             message.attempts.set(attempt, new EarlierAttempt(sentAt, 0, !outcome.provesNotExecuted()));
             relay.turn(new AttemptEnded(message.id, attempt, endpoint, outcome, outcome == Outcome.OK, waitFor,
@@ -284,6 +308,7 @@
     private final SplittableRandom random;
     private final PriorityQueue<ScheduledTask> tasks = new PriorityQueue<>();
     private final SimulatedDestination destination;
+    private final long endAt;
     private final List<Endpoint> endpoints = new ArrayList<>();
     private final List<SimulatedRelay> relays = new ArrayList<>();
     private final List<Message> submittedMessages = new ArrayList<>();
@@ -294,9 +319,9 @@
 
     private FleetSimulation(Scenario scenario) {
         this.scenario = scenario;
-        random = new SplittableRandom(scenario.seed);
-        destination = new SimulatedDestination(scenario.capacity, scenario.outage, scenario.outageCount,
-            RULES);
+        random = new SplittableRandom(scenario.shape.seed());
+        destination = new SimulatedDestination(scenario.shape, RULES);
+        endAt = destination.lastReturnAt() + scenario.tailMicros;
     }
 
     /** Runs a scenario until its last outage and the time after it are over. */
@@ -305,21 +330,24 @@
     }
 
     private Result run() {
-        double listingError = scenario.weights == Weights.ROUGH ? 0.5 + random.nextDouble() : 1;
-        for (long id : ENDPOINT_IDS) {
-            endpoints.add(new Endpoint(id, 0, 0, 1, Listing.READY, scenario.capacity * listingError));
+        OutageShape shape = scenario.shape;
+        double listingError = shape.weights() == Weights.ROUGH ? 0.5 + random.nextDouble() : 1;
+        for (int i = 0; i < shape.endpoints(); i++) {
+            endpoints.add(new Endpoint(FIRST_ENDPOINT_ID + i, 0, 0, 1, Listing.READY,
+                shape.capacityPerSecond() * listingError));
         }
-        int busyRelays = (scenario.relays + RELAYS_PER_BUSY_RELAY - 1) / RELAYS_PER_BUSY_RELAY;
-        double trafficUnit = OFFERED_LOAD_SHARE * scenario.capacity
-            / (scenario.relays + busyRelays * (scenario.busyFactor - 1));
-        for (int rank = 0; rank < scenario.relays; rank++) {
+        int busyRelays = (shape.relays() + RELAYS_PER_BUSY_RELAY - 1) / RELAYS_PER_BUSY_RELAY;
+        double trafficUnit = shape.messagesPerSecond()
+            / (shape.relays() + busyRelays * (shape.busyFactor() - 1));
+        for (int rank = 0; rank < shape.relays(); rank++) {
             SimulatedRelay relay = new SimulatedRelay(rank);
             relays.add(relay);
             scheduleNextArrival(relay,
-                trafficUnit * (rank % RELAYS_PER_BUSY_RELAY == 0 ? scenario.busyFactor : 1));
+                trafficUnit * (rank % RELAYS_PER_BUSY_RELAY == 0 ? shape.busyFactor() : 1));
         }
+        scheduleBurst();
         scenario.restarts.forEach(restart -> schedule(restart.at, () -> restart(restart)));
-        while (!tasks.isEmpty() && tasks.peek().at() < destination.endAt()) {
+        while (!tasks.isEmpty() && tasks.peek().at() < endAt) {
             ScheduledTask next = tasks.poll();
             now = next.at();
             next.task().run();
@@ -345,13 +373,31 @@
     private void scheduleNextArrival(SimulatedRelay relay, double perSecond) {
         long next = now + (long) (-Math.log(1 - random.nextDouble()) / perSecond * SECOND);
         schedule(next, () -> {
-            Message message = new Message("m" + nextMessageId++, now + LIFE_MICROS);
-            submittedMessages.add(message);
-            submit(relay, message);
+            if (!scenario.shape.quietSpell().contains(now / MS - scenario.shape.startMillis())) {
+                submitNew(relay);
+            }
             scheduleNextArrival(relay, perSecond);
         });
     }
 
+    /** Schedules the messages of the burst, each to a random relay. */
+    private void scheduleBurst() {
+        Burst burst = scenario.shape.burst();
+        long count = Math.round(burst.seconds() * scenario.shape.messagesPerSecond());
+        long start = (scenario.shape.startMillis() + burst.atMillis()) * MS;
+        for (long i = 0; i < count; i++) {
+            SimulatedRelay relay = relays.get(random.nextInt(relays.size()));
+            schedule(start + random.nextLong(Burst.LENGTH_MILLIS * MS), () -> submitNew(relay));
+        }
+    }
+
+    private void submitNew(SimulatedRelay relay) {
+        Message message = new Message("m" + nextMessageId++, now + scenario.shape.lifetimeMillis() * MS,
+            now + AIM_MICROS);
+        submittedMessages.add(message);
+        submit(relay, message);
+    }
+
     /** A client whose relay is down submits its message to another one, or later if all are down. */
     private void submit(SimulatedRelay first, Message message) {
         List<SimulatedRelay> alive = relays.stream().filter(relay -> relay.alive).toList();
@@ -371,7 +417,7 @@
     /** Sums up the run; messages with a deadline after its end are left out. */
     private Result result() {
         List<Message> counted = submittedMessages.stream()
-            .filter(message -> message.deadline <= destination.endAt()).toList();
+            .filter(message -> message.deadline <= endAt).toList();
         double inAim = counted.stream().filter(message -> message.deliveredInAim).count();
         double withoutCall = counted.stream().filter(message -> message.attempts.isEmpty()).count();
         return new Result(destination.load(), inAim / counted.size(), withoutCall / counted.size());
@@ -379,9 +425,11 @@
 
     /** Settings of one relay: one class of messages, safe to repeat; hedged attempts are allowed. */
     private Settings settings(int rank) {
-        MessageClass messageClass = new MessageClass("a", AIM_MICROS, LIFE_MICROS, 1, 0.5, Effect.SAFE, false,
+        MessageClass messageClass = new MessageClass("a", AIM_MICROS,
+            scenario.shape.lifetimeMillis() * MS, 1, 0.5, Effect.SAFE, false,
             0, false, 8);
-        return new Settings(rank, scenario.relays, 0, false, 0.2, scenario.weights, List.of(messageClass),
+        return new Settings(rank, scenario.shape.relays(), 0, false, 0.2, scenario.shape.weights(),
+            List.of(messageClass),
             List.of(), List.of(new Kind(false, 1)),
             new Limits(60, 1_000, true, true, 1, 1_000 * MS, 15 * SECOND, 2 * SECOND), RULES,
             new Costs(0.05, 0.02, 0, 0.1, List.of()));
--- a/src/test/java/wrenkeel/SimulatedDestination.java
+++ b/src/test/java/wrenkeel/SimulatedDestination.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import wrenkeel.Relay.Outcome;
 import wrenkeel.Relay.Rules;
+import wrenkeel.soak.OutageShape;
 
 /**
  * A destination that has outages and returns from each of them cold: at first it accepts only a part of its
@@ -16,16 +17,6 @@
  * informed relays can know that the destination is cold.
  */
 final class SimulatedDestination {
-    /** How calls fail during an outage. */
-    enum Outage {
-        /** The connection is refused. */ CONNECTION_REFUSED,
-        /** The call is rejected as over the limit, with a time to wait. */ REJECTED_WITH_WAIT,
-        /** The call is rejected as over the limit, without a time to wait. */ REJECTED,
-        /** There is no response, and the call times out. */ NO_RESPONSE,
-        /** There is an error response at once. */ ERROR_RESPONSE,
-        /** The connection is reset. */ CONNECTION_RESET
-    }
-
     /**
      * The response to a call.
      *
@@ -53,14 +44,6 @@
     /** A call that arrived while the destination was cold. */
     private record ColdCall(long at, boolean fromInformedRelay) { }
 
-    /** Start of the first outage. */
-    static final long FIRST_OUTAGE_MICROS = 40_000_000;
-    /** Duration of an outage. */
-    static final long OUTAGE_MICROS = 10_000_000;
-    /** Time from the start of one outage to the start of the next. */
-    static final long OUTAGE_INTERVAL_MICROS = 16_000_000;
-    /** Time from the end of the last outage to the end of the run. */
-    static final long AFTER_LAST_OUTAGE_MICROS = 50_000_000;
     /** Time that an accepted call takes at the destination. */
     private static final long LATENCY_MICROS = 300_000;
     /** Wait that a rejection asks for. */
@@ -72,9 +55,7 @@
     /** Expected calls in a window from which on the allowance for random variation is the smaller one. */
     private static final double LARGE_WINDOW_CALLS = 30;
 
-    private final double capacity;
-    private final Outage outage;
-    private final int outageCount;
+    private final OutageShape shape;
     private final Rules rules;
     private final List<ColdCall> coldCalls = new ArrayList<>();
     /** Token bucket of the calls that it accepts, and when it was last refilled. */
@@ -84,49 +65,49 @@
     /**
      * Creates a destination.
      *
-     * @param capacity calls a second that it accepts when warm
-     * @param outage how calls fail during outages
-     * @param outageCount number of outages
+     * @param shape its capacity, and when and how calls fail
      * @param rules length of the warm-up, share of the capacity at its beginning, and the budget of a window
      */
-    SimulatedDestination(double capacity, Outage outage, int outageCount, Rules rules) {
-        this.capacity = capacity;
-        this.outage = outage;
-        this.outageCount = outageCount;
+    SimulatedDestination(OutageShape shape, Rules rules) {
+        this.shape = shape;
         this.rules = rules;
     }
 
-    /** The time of the first return to service. */
-    static long firstReturnAt() {
-        return FIRST_OUTAGE_MICROS + OUTAGE_MICROS;
+    /** The end of the last outage. */
+    long lastReturnAt() {
+        return outageEnd(shape.outageCount() - 1);
     }
 
-    /** The end of the run, after all outages and the time that follows the last one. */
-    long endAt() {
-        return outageStart(outageCount - 1) + OUTAGE_MICROS + AFTER_LAST_OUTAGE_MICROS;
+    /** The start of the outage of this number, from 0. */
+    private long outageStart(int number) {
+        return (shape.startMillis() + number * shape.intervalMillis()) * FleetSimulation.MS;
     }
 
-    /** The start of the outage of this number, from 0. */
-    private static long outageStart(int number) {
-        return FIRST_OUTAGE_MICROS + number * OUTAGE_INTERVAL_MICROS;
+    /** The end of the outage of this number, from 0. */
+    private long outageEnd(int number) {
+        return outageStart(number) + shape.outageMillis() * FleetSimulation.MS;
     }
 
     /** True during an outage. */
     boolean isOut(long time) {
-        for (int number = 0; number < outageCount; number++) {
-            if (time >= outageStart(number) && time < outageStart(number) + OUTAGE_MICROS) {
-                return true;
+        return returnAfter(time) >= 0;
+    }
+
+    /** The end of the outage that a time is in; -1 if it is in none. */
+    long returnAfter(long time) {
+        for (int number = 0; number < shape.outageCount(); number++) {
+            if (time >= outageStart(number) && time < outageEnd(number)) {
+                return outageEnd(number);
             }
         }
-        return false;
+        return -1;
     }
 
     /** The latest return to service up to a time; -1 if there is none. */
     private long latestReturnBefore(long time) {
         long latest = -1;
-        for (int number = 0; number < outageCount; number++) {
-            latest = time >= outageStart(number) + OUTAGE_MICROS
-                ? outageStart(number) + OUTAGE_MICROS : latest;
+        for (int number = 0; number < shape.outageCount(); number++) {
+            latest = time >= outageEnd(number) ? outageEnd(number) : latest;
         }
         return latest;
     }
@@ -134,13 +115,16 @@
     /** Responds to a call that arrives now; {@code informed}: from an informed relay. */
     Response call(long now, boolean informed) {
         if (isOut(now)) {
-            return switch (outage) {
+            long untilReturn = returnAfter(now) - now;
+            return switch (shape.failure()) {
                 case CONNECTION_REFUSED -> new Response(Outcome.CONNECT_FAILED, 0, 0);
                 case REJECTED_WITH_WAIT -> new Response(Outcome.FULL, 0, REJECTION_WAIT_MICROS);
                 case REJECTED -> new Response(Outcome.FULL, 0, 0);
                 case ERROR_RESPONSE -> new Response(Outcome.ERROR, 0, 0);
                 case CONNECTION_RESET -> new Response(Outcome.RESET, 0, 0);
                 case NO_RESPONSE -> new Response(null, 0, 0);
+                case NO_RESPONSE_THEN_RESET -> new Response(Outcome.RESET, untilReturn, 0);
+                case NO_RESPONSE_THEN_ANSWERED -> new Response(Outcome.OK, untilReturn + LATENCY_MICROS, 0);
             };
         }
         long returnAt = latestReturnBefore(now);
@@ -153,6 +137,7 @@
 
     /** Calls a second that it accepts at a time: its capacity when warm, a growing share of it when cold. */
     private double capacityAt(long time) {
+        double capacity = shape.capacityPerSecond() * (time < outageStart(0) ? 1 : shape.limitFactor());
         long returnAt = latestReturnBefore(time);
         if (returnAt < 0) {
             return capacity;
