Do not take what follows a response for the answer to the next call

Cause: a connection that had just answered was preferred for the next call, within the time in which surplus is on its way, and bytes that arrived while no call waited were parsed, or kept until the next use if they made no complete head.

Now a connection rests for 30 ms after a response; a call takes the most recently used one that has rested, or a new one; one that rests is taken only at the limit on connections. What has arrived unread is read before a request is written. Bytes that come while no response is expected are discarded unparsed, close their connection and count in surplus_responses; no connection to that host is reused for 10 s after that.

--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -36,6 +36,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -222,6 +223,7 @@
         final Set<Connection> open = new HashSet<>();
         /** Calls of which no byte has been sent. */
         final Set<Call> unsent = new HashSet<>();
+        final ReuseGuard reuseGuard = new ReuseGuard();
         InetSocketAddress address;
     }
 
@@ -229,6 +231,7 @@
     private final Bootstrap bootstrap;
     private long idleLimitNanos;
     private final Metrics metrics;
+    private final LongSupplier nanoClock;
     /** Limit of {@link #connectionCount}. */
     private int maxConnections;
     /** Connections to all hosts, including those that are being established. */
@@ -246,16 +249,19 @@
     HostPool(EventLoop loop, Bootstrap bootstrap, long connectTimeoutMicros, long keepAliveMicros,
              int maxConnections, Metrics metrics) {
         this(loop, bootstrap, NioSocketChannel::new, connectTimeoutMicros, keepAliveMicros, maxConnections,
-            metrics);
+            metrics, System::nanoTime);
     }
 
     /**
      * {@code channelFactory} creates the connections' channels; an exception that it throws fails the call.
+     * {@code nanoClock} tells how long connections have been idle.
      */
     HostPool(EventLoop loop, Bootstrap bootstrap, ChannelFactory<Channel> channelFactory,
-             long connectTimeoutMicros, long keepAliveMicros, int maxConnections, Metrics metrics) {
+             long connectTimeoutMicros, long keepAliveMicros, int maxConnections, Metrics metrics,
+             LongSupplier nanoClock) {
         this.loop = loop;
         this.metrics = metrics;
+        this.nanoClock = nanoClock;
         this.bootstrap = bootstrap.clone(loop).channelFactory(channelFactory)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<Channel>() {
@@ -312,7 +318,10 @@
      * Starts a call on an idle connection or a new one; false if the connection limit doesn't allow it now.
      */
     private boolean tryDispatch(Call call) {
-        Connection idle = takeIdleConnection(call);
+        Connection idle = takeIdleConnection(call, true);
+        if (idle == null && connectionCount >= maxConnections) {
+            idle = takeIdleConnection(call, false);
+        }
         if (idle != null) {
             idle.start(call);
             return true;
@@ -324,10 +333,21 @@
         return true;
     }
 
-    /** Takes the most recently used idle connection to the call's host; null if none can be used. */
-    private Connection takeIdleConnection(Call call) {
-        for (Connection connection = call.connections.idle.pollLast(); connection != null;
-             connection = call.connections.idle.pollLast()) {
+    /**
+     * Takes the most recently used idle connection to the call's host; null if none can be used.
+     *
+     * @param rested only a connection that has rested since its latest response
+     */
+    private Connection takeIdleConnection(Call call, boolean rested) {
+        List<Connection> mostRecentFirst = new ArrayList<>();
+        call.connections.idle.descendingIterator().forEachRemaining(mostRecentFirst::add);
+        for (Connection connection : mostRecentFirst) {
+            if (rested && !connection.hasRested()) {
+                continue;
+            }
+            // Surplus bytes that have arrived close the connection.
+            UnreadBytes.read(connection.channel);
+            call.connections.idle.remove(connection);
             idleOldestFirst.remove(connection);
             if (connection.isUsableFor(call.host)) {
                 return connection;
@@ -496,8 +516,8 @@
 
     /** Closes stale and stuck connections, and forgets hosts without connections and calls. */
     private void sweep() {
-        connectionsByHost.values().removeIf(
-            connections -> connections.open.isEmpty() && connections.unsent.isEmpty());
+        connectionsByHost.values().removeIf(connections -> connections.open.isEmpty()
+            && connections.unsent.isEmpty() && connections.reuseGuard.allowsReuse(nanoClock.getAsLong()));
         for (HostConnections connections : connectionsByHost.values()) {
             // A response that never ends would hold its file descriptor although its call has ended.
             List.copyOf(connections.open).stream().filter(Connection::isStuck)
@@ -514,7 +534,7 @@
      * becomes idle when the response is complete.
      */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
-        private final ResponseDecoder decoder = new ResponseDecoder(this::onStatusLine);
+        private final ResponseDecoder decoder = new ResponseDecoder(this::onStatusLine, this::onSurplus);
         private Channel channel;
         private HostConnections connections;
         private Call call;
@@ -535,7 +555,11 @@
 
         /** True if the host may close this idle connection soon. */
         private boolean isStale() {
-            return System.nanoTime() - idleSinceNanos >= idleLimitNanos;
+            return nanoClock.getAsLong() - idleSinceNanos >= idleLimitNanos;
+        }
+
+        private boolean hasRested() {
+            return ReuseGuard.hasRested(idleSinceNanos, nanoClock.getAsLong());
         }
 
         /** True if the head of the response came long ago and the response is not complete. */
@@ -546,7 +570,16 @@
 
         private boolean isUsableFor(HostList.Host host) {
             return channel.isActive() && !isStale() && host.address.equals(address)
-                && !decoder.hasSurplusBytes();
+                && connections.reuseGuard.allowsReuse(nanoClock.getAsLong());
+        }
+
+        /** Called when bytes have arrived that belong to no call. */
+        private void onSurplus() {
+            if (connections != null) {
+                connections.reuseGuard.recordSurplus(nanoClock.getAsLong());
+                metrics.countSurplusResponse();
+            }
+            channel.close();
         }
 
         /** Called when the status line of a response has been read. */
@@ -604,8 +637,10 @@
             }
             if (part instanceof LastHttpContent && headReceived && channel.isActive()) {
                 call = null;
-                idleSinceNanos = System.nanoTime();
-                if (reusable && !decoder.hasSurplusBytes()) {
+                idleSinceNanos = nanoClock.getAsLong();
+                decoder.completeResponse();
+                if (reusable && channel.isActive()
+                    && connections.reuseGuard.allowsReuse(idleSinceNanos)) {
                     connections.idle.addLast(this);
                     idleOldestFirst.add(this);
                     scheduleDispatch();
--- a/src/main/java/wrenkeel/net/Metrics.java
+++ b/src/main/java/wrenkeel/net/Metrics.java
@@ -33,6 +33,7 @@
     private final Map<Refusal, AtomicLong> refusals = zeroes(Refusal.class);
     private final Map<Relay.HealthReason, AtomicLong> healthChanges = zeroes(Relay.HealthReason.class);
     private final AtomicLong upstreamRequests = new AtomicLong();
+    private final AtomicLong surplusResponses = new AtomicLong();
     private final AtomicLong reloads = new AtomicLong();
     private final AtomicLong reloadErrors = new AtomicLong();
     private volatile Gauges gauges = new Gauges(0, 0, 0, -1, 0, 0, 0);
@@ -95,6 +96,11 @@
         upstreamRequests.addAndGet(messages);
     }
 
+    /** Counts bytes of an endpoint that belong to no call. */
+    void countSurplusResponse() {
+        surplusResponses.incrementAndGet();
+    }
+
     void countReload() {
         reloads.incrementAndGet();
     }
@@ -130,6 +136,7 @@
             writeByClass(out, "rejected", ends -> ends.rejected);
             writeByClass(out, "failed", ends -> ends.failed);
             out.writeNumberField("upstream_requests", upstreamRequests.get());
+            out.writeNumberField("surplus_responses", surplusResponses.get());
             out.writeNumberField("pending", now.pending);
             out.writeNumberField("members", now.listedEndpoints);
             out.writeNumberField("members_unavailable", now.unavailableEndpoints);
--- a/src/main/java/wrenkeel/net/ResponseDecoder.java
+++ b/src/main/java/wrenkeel/net/ResponseDecoder.java
@@ -15,7 +15,7 @@
 /**
  * A strict decoder for the HTTP/1 responses of endpoints. A response in a form that the protocol doesn't
  * allow makes the attempt fail, and its messages must not count as delivered. The decoder reports the status
- * as soon as the status line has been read, and detects bytes after the end of a response. It closes the
+ * as soon as the status line has been read, and discards bytes that belong to no response. It closes the
  * connection when a response exceeds the size limits, and discards everything after that.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
@@ -31,6 +31,9 @@
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9][0-9]");
 
     private final IntConsumer onStatusLine;
+    private final Runnable onSurplus;
+    /** A call has been sent, and its response is not complete. */
+    private boolean responseExpected;
     /** Bytes received since the request. */
     private int responseBytes;
     /** Bytes of the current body. */
@@ -38,26 +41,36 @@
     /** A limit has been exceeded, and the connection has been closed for that. */
     private boolean exceeded;
 
-    /** {@code onStatusLine} receives the status of each status line, including those of interim responses. */
-    ResponseDecoder(IntConsumer onStatusLine) {
+    /**
+     * {@code onStatusLine} receives the status of each status line, including those of interim responses.
+     * {@code onSurplus} is called for bytes that arrive while no response is expected; they are discarded.
+     */
+    ResponseDecoder(IntConsumer onStatusLine, Runnable onSurplus) {
         this.onStatusLine = onStatusLine;
+        this.onSurplus = onSurplus;
     }
 
     /** Called when a request is sent: what is received from now on belongs to its response. */
     void expectResponse() {
         responseBytes = 0;
+        responseExpected = true;
     }
 
-    /**
-     * True if there are bytes after the end of the latest response, which would be taken for the beginning of
-     * the next one.
-     */
-    boolean hasSurplusBytes() {
-        return actualReadableBytes() > 0;
+    /** Called at the end of a response: what follows it, and what is received from now on, is surplus. */
+    void completeResponse() {
+        responseExpected = false;
+        if (actualReadableBytes() > 0) {
+            onSurplus.run();
+        }
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
+        if (!responseExpected) {
+            ReferenceCountUtil.release(bytes);
+            onSurplus.run();
+            return;
+        }
         responseBytes += ((ByteBuf) bytes).readableBytes();
         if (responseBytes > MAX_RESPONSE_BYTES) {
             closeAsExceeded(context);
@@ -71,7 +84,7 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts) throws Exception {
-        if (exceeded) {
+        if (exceeded || !responseExpected) {
             bytes.skipBytes(bytes.readableBytes());
             return;
         }
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -13,18 +13,23 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketAddress;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import wrenkeel.Relay.Outcome;
 
@@ -58,6 +63,18 @@
             new Metrics());
     }
 
+    /** A pool whose connections are idle for as long as the test says. */
+    private HostPool newPool(AtomicLong clock, int maxConnections) {
+        return new HostPool(group.next(), new Bootstrap().group(group), NioSocketChannel::new, LONG_MICROS,
+            KEEP_ALIVE_MICROS, maxConnections, new Metrics(), clock::get);
+    }
+
+    private void awaitIdleCount(HostPool pool, int count) throws Exception {
+        while (group.next().submit(() -> pool.idleCount(defaultHost)).get() != count) {
+            Thread.onSpinWait();
+        }
+    }
+
     /** An attempt to deliver a message with this id, idempotency key and body length. */
     private HostPool.Attempt attempt(String id, String key, long timeoutMicros, int bytes) {
         return new HostPool.Attempt(new Message(id, "bill", 0, null, key, 7, 0, new byte[bytes]),
@@ -224,7 +241,8 @@
                 protected boolean doConnect(SocketAddress remote, SocketAddress local) {
                     return false;
                 }
-            }, LONG_MICROS, KEEP_ALIVE_MICROS, 100, new Metrics());
+            }, LONG_MICROS, KEEP_ALIVE_MICROS, 100, new Metrics(),
+            System::nanoTime);
         HostPool.Attempt first = attempt("a", null, LONG_MICROS, 10);
         HostPool.Attempt second = attempt("b", null, LONG_MICROS, 10);
         startCall(pool, 9, first, second);
@@ -489,7 +507,8 @@
     @Test
     void connectionIsReusedAfterManyLongResponses() throws Exception {
         try (StubHost host = new StubHost()) {
-            HostPool pool = newPool(KEEP_ALIVE_MICROS);
+            AtomicLong clock = new AtomicLong();
+            HostPool pool = newPool(clock, 100);
             Socket first = null;
             for (int i = 0; i < 6; i++) {
                 startCall(pool, host.port(), LONG_MICROS, 10);
@@ -498,10 +517,101 @@
                 assertSame(first, call.socket());
                 call.respond(response("200 OK", "", "x".repeat(ResponseDecoder.MAX_BODY_BYTES)));
                 assertEquals(Outcome.OK, awaitReply().outcome());
-                while (group.next().submit(() -> pool.idleCount(defaultHost)).get() == 0) {
+                awaitIdleCount(pool, 1);
+                clock.addAndGet(ReuseGuard.REST_NANOS);
+            }
+        }
+    }
+
+    private static SocketChannel openSocket() {
+        try {
+            return SocketChannel.open();
+        } catch (IOException e) {
+            throw new ChannelException(e);
+        }
+    }
+
+    /** Starts a call and answers it with this text; returns the call. */
+    private StubHost.Call callAnswered(HostPool pool, StubHost host, String response) throws Exception {
+        startCall(pool, host.port(), LONG_MICROS, 10);
+        StubHost.Call call = host.nextCall();
+        call.respond(response);
+        assertEquals(Outcome.OK, awaitReply().outcome());
+        return call;
+    }
+
+    /** Bytes that a host sends while no call waits, each of which a next call would take for its answer. */
+    private static Stream<String> surplus() {
+        return Stream.of(StubHost.OK, "noise", "HTTP/1.1 503 x\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    @ParameterizedTest
+    @MethodSource("surplus")
+    void surplusAfterAnAnswerDoesNotEndTheNextCall(String surplus) throws Exception {
+        try (StubHost host = new StubHost()) {
+            AtomicLong clock = new AtomicLong();
+            HostPool pool = newPool(clock, 100);
+            StubHost.Call first = callAnswered(pool, host, StubHost.OK);
+            awaitIdleCount(pool, 1);
+            startCall(pool, host.port(), LONG_MICROS, 10);
+            StubHost.Call second = host.nextCall();
+            first.respond(surplus);
+            assertTrue(host.awaitClosed(first));
+            second.respond("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(Outcome.ERROR, awaitReply().outcome());
+        }
+    }
+
+    @Test
+    void surplusThatHasArrivedBeforeARequestIsWrittenDoesNotEndIt() throws Exception {
+        try (StubHost host = new StubHost()) {
+            AtomicLong clock = new AtomicLong();
+            List<SocketChannel> sockets = new CopyOnWriteArrayList<>();
+            HostPool pool = new HostPool(group.next(), new Bootstrap().group(group), () -> {
+                sockets.add(openSocket());
+                return new NioSocketChannel(sockets.get(sockets.size() - 1));
+            }, LONG_MICROS, KEEP_ALIVE_MICROS, 100, new Metrics(), clock::get);
+            StubHost.Call first = callAnswered(pool, host, StubHost.OK);
+            awaitIdleCount(pool, 1);
+            clock.addAndGet(ReuseGuard.REST_NANOS);
+            HostPool.Attempt attempt = attempt("b", null, LONG_MICROS, 10);
+            // The event loop is held until the bytes are in the socket, and then starts the next call.
+            group.next().submit(() -> {
+                first.respond(StubHost.OK);
+                while (sockets.get(0).socket().getInputStream().available() < StubHost.OK.length()) {
                     Thread.onSpinWait();
                 }
-            }
+                pool.startCall(defaultHost, List.of(attempt));
+                return null;
+            }).get();
+            StubHost.Call second = host.nextCall();
+            assertNotSame(first.socket(), second.socket());
+        }
+    }
+
+    @Test
+    void connectionsOfAHostThatSentSurplusAreNotReusedForAWhile() throws Exception {
+        try (StubHost host = new StubHost()) {
+            AtomicLong clock = new AtomicLong();
+            HostPool pool = newPool(clock, 100);
+            assertTrue(host.awaitClosed(callAnswered(pool, host, StubHost.OK + "noise")));
+            StubHost.Call distrusted = callAnswered(pool, host, StubHost.OK);
+            assertTrue(host.awaitClosed(distrusted));
+            clock.addAndGet(ReuseGuard.DISTRUST_NANOS);
+            StubHost.Call trusted = callAnswered(pool, host, StubHost.OK);
+            awaitIdleCount(pool, 1);
+            clock.addAndGet(ReuseGuard.REST_NANOS);
+            assertSame(trusted.socket(), callAnswered(pool, host, StubHost.OK).socket());
+        }
+    }
+
+    @Test
+    void restingConnectionIsReusedWhereNoOtherMayBeOpened() throws Exception {
+        try (StubHost host = new StubHost()) {
+            HostPool pool = newPool(new AtomicLong(), 1);
+            StubHost.Call first = callAnswered(pool, host, StubHost.OK);
+            awaitIdleCount(pool, 1);
+            assertSame(first.socket(), callAnswered(pool, host, StubHost.OK).socket());
         }
     }
 
@@ -526,7 +636,8 @@
     @Test
     void batchIsOneCallWithAnOutcomePerMessage() throws Exception {
         try (StubHost host = new StubHost()) {
-            HostPool pool = newPool(KEEP_ALIVE_MICROS);
+            AtomicLong clock = new AtomicLong();
+            HostPool pool = newPool(clock, 100);
             startCall(pool, host.port(), attempt("a", "k\"", LONG_MICROS, 2),
                 attempt("b", null, LONG_MICROS, 3), attempt("c", null, LONG_MICROS, 0),
                 attempt("d", null, LONG_MICROS, 1), attempt("e", null, LONG_MICROS, 1),
@@ -547,6 +658,8 @@
                 assertEquals(messageOver.get(i), reply.messageOver());
                 assertEquals(500_000, reply.retryAfterMicros());
             }
+            awaitIdleCount(pool, 1);
+            clock.addAndGet(ReuseGuard.REST_NANOS);
             startCall(pool, host.port(), LONG_MICROS, 10);
             assertSame(call.socket(), host.nextCall().socket());
         }
@@ -725,7 +838,7 @@
     void callWithoutAFreeDescriptorEndsOnTheEventLoop() throws Exception {
         HostPool pool = new HostPool(group.next(), new Bootstrap().group(group), () -> {
             throw new ChannelException("too many open files");
-        }, LONG_MICROS, KEEP_ALIVE_MICROS, 100, new Metrics());
+        }, LONG_MICROS, KEEP_ALIVE_MICROS, 100, new Metrics(), System::nanoTime);
         BlockingQueue<Boolean> onEventLoop = new LinkedBlockingQueue<>();
         HostPool.Attempt attempt = new HostPool.Attempt(attempt("a", null, LONG_MICROS, 1).message(),
             LONG_MICROS, reply -> {
@@ -757,7 +870,7 @@
                     doClose();
                     throw new SocketException(fault);
                 }
-            }, LONG_MICROS, KEEP_ALIVE_MICROS, 100, new Metrics());
+            }, LONG_MICROS, KEEP_ALIVE_MICROS, 100, new Metrics(), System::nanoTime);
         startCall(pool, 9, attempt("a", null, LONG_MICROS, 1));
         assertEquals(Outcome.NO_SOCKET, awaitReply().outcome());
         assertEquals(0, connectionCount(pool));
--- a/src/test/java/wrenkeel/net/ResponseDecoderTest.java
+++ b/src/test/java/wrenkeel/net/ResponseDecoderTest.java
@@ -10,7 +10,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -22,9 +24,16 @@
 
     /** The statuses that the decoder has reported, including those of interim responses. */
     private final List<Integer> statuses = new ArrayList<>();
-    private final ResponseDecoder decoder = new ResponseDecoder(statuses::add);
+    /** Reports of bytes that belong to no response. */
+    private final AtomicInteger surplusReports = new AtomicInteger();
+    private final ResponseDecoder decoder = new ResponseDecoder(statuses::add, surplusReports::incrementAndGet);
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder);
 
+    @BeforeEach
+    void sendRequest() {
+        decoder.expectResponse();
+    }
+
     @AfterEach
     void releaseChannel() {
         channel.finishAndReleaseAll();
@@ -105,4 +114,16 @@
         assertTrue(channel.isOpen());
         assertEquals(10, statuses.size());
     }
+
+    @Test
+    void bytesThatBelongToNoResponseAreReportedAndDiscarded() {
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        drainBodyBytes(new boolean[1]);
+        decoder.completeResponse();
+        assertEquals(0, surplusReports.get());
+        receive("HTTP/1.1 503 x\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(1, surplusReports.get());
+        assertEquals(List.of(200), statuses);
+        assertNull(channel.readInbound());
+    }
 }
