--- a/src/main/java/wrenkeel/net/ReuseGuard.java
+++ b/src/main/java/wrenkeel/net/ReuseGuard.java
@@ -4,9 +4,9 @@
 
 /**
  * Decides when a connection to one host may carry the next call. A host may send more than the response to a
- * call, such as a second copy of it or noise. What arrives after the next request has been sent cannot be told
- * from the response to that request. So a connection rests after a response, and the connections to a host
- * that has sent surplus bytes are not reused for some time. Not thread-safe.
+ * call, such as a second copy of it or noise. What arrives after the next request has been sent cannot be
+ * told from the response to that request. So a connection rests after a response, and the connections to a
+ * host that has sent surplus bytes are not reused for some time. Not thread-safe.
  *
  * <p>Times are those of {@link System#nanoTime}.
  */
