Let runs with real relays play a drawn outage and count the calls of relays told

OutageRun takes an OutageShape in place of its own plan: quiet spells, bursts, uneven traffic, kills, a second outage, and an end that cuts the calls that hang. ColdStartBudget finds the first window over the bound and how many of its calls came from relays that had met the outage; the soak's oracle names them in its finding. The plan's options for a lost folder and a second kill are gone: nothing used them.

--- a/src/main/java/wrenkeel/scale/StandInDestinations.java
+++ b/src/main/java/wrenkeel/scale/StandInDestinations.java
@@ -158,6 +158,11 @@
         }
     }
 
+    /** Closes all connections to an endpoint; calls without an answer are cut off. */
+    public void closeConnections(int number) throws InterruptedException {
+        endpoints.get(number).connections.close().sync();
+    }
+
     /** Makes an endpoint refuse all calls for this time, with a Retry-After up to its end. */
     public void refuseFor(int number, long millis) {
         EndpointModel model = endpoints.get(number).model;
--- a/src/main/java/wrenkeel/soak/ColdStartBudget.java
+++ b/src/main/java/wrenkeel/soak/ColdStartBudget.java
@@ -1,7 +1,9 @@
 package wrenkeel.soak;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * How many calls a destination can take while it is cold, that is in the time after an outage in which its
@@ -43,28 +45,79 @@
     }
 
     /**
-     * Checks the window that ends at each call. Its ratio is 0 if there was no call in the cold time.
+     * A call to the destination.
      *
-     * @param returnMillis end of the outage
-     * @param callMillis times of the calls in ascending order; calls outside the cold time are ignored
+     * @param atMillis when it was received
+     * @param told whether its relay had been told of the outage: a call of it had failed or been refused then
      */
-    WorstWindow worstWindow(long returnMillis, List<Long> callMillis) {
-        WorstWindow worst = new WorstWindow(0, returnMillis, 0, bound(0));
-        ArrayDeque<Long> window = new ArrayDeque<>();
-        for (long callAt : callMillis) {
-            if (callAt < returnMillis || callAt >= returnMillis + coldMillis) {
+    record TimedCall(long atMillis, boolean told) { }
+
+    /**
+     * The first window with more calls than its bound, with which the destination fails again.
+     *
+     * @param endMillis end of the window, on the clock of the calls
+     * @param calls calls in the window
+     * @param toldCalls those of relays that had been told of the outage
+     * @param bound calls that the window may hold
+     */
+    record Overload(long endMillis, int calls, int toldCalls, double bound) {
+        /** Whether the rule is broken: most calls came from relays that knew that the budget applied. */
+        boolean isBroken() {
+            return 3 * toldCalls > 2 * calls;
+        }
+    }
+
+    /** Receives the window that ends at a call, in the order of the calls. */
+    private interface WindowVisitor {
+        void visit(ArrayDeque<TimedCall> window, double bound);
+    }
+
+    private void visitWindows(long returnMillis, List<TimedCall> calls, WindowVisitor visitor) {
+        ArrayDeque<TimedCall> window = new ArrayDeque<>();
+        for (TimedCall call : calls) {
+            if (call.atMillis < returnMillis || call.atMillis >= returnMillis + coldMillis) {
                 continue;
             }
-            window.addLast(callAt);
-            long windowStart = Math.max(returnMillis, callAt - windowMillis);
-            while (window.peekFirst() < windowStart) {
+            window.addLast(call);
+            long windowStart = Math.max(returnMillis, call.atMillis - windowMillis);
+            while (window.peekFirst().atMillis < windowStart) {
                 window.pollFirst();
             }
-            double bound = bound(windowStart - returnMillis);
-            if (window.size() / bound > worst.ratio) {
-                worst = new WorstWindow(window.size() / bound, callAt, window.size(), bound);
-            }
+            visitor.visit(window, bound(windowStart - returnMillis));
         }
-        return worst;
+    }
+
+    /**
+     * Checks the window that ends at each call. Its ratio is 0 if there was no call in the cold time.
+     *
+     * @param returnMillis end of the outage
+     * @param calls calls in ascending order of time; calls outside the cold time are ignored
+     */
+    WorstWindow worstWindow(long returnMillis, List<TimedCall> calls) {
+        WorstWindow[] worst = {new WorstWindow(0, returnMillis, 0, bound(0))};
+        visitWindows(returnMillis, calls, (window, bound) -> {
+            if (window.size() / bound > worst[0].ratio) {
+                worst[0] = new WorstWindow(window.size() / bound, window.peekLast().atMillis, window.size(),
+                    bound);
+            }
+        });
+        return worst[0];
+    }
+
+    /**
+     * Finds the first window over its bound.
+     *
+     * @param returnMillis end of the outage
+     * @param calls calls in ascending order of time; calls outside the cold time are ignored
+     */
+    Optional<Overload> firstOverload(long returnMillis, List<TimedCall> calls) {
+        List<Overload> overloads = new ArrayList<>();
+        visitWindows(returnMillis, calls, (window, bound) -> {
+            if (window.size() > bound && overloads.isEmpty()) {
+                int told = (int) window.stream().filter(TimedCall::told).count();
+                overloads.add(new Overload(window.peekLast().atMillis, window.size(), told, bound));
+            }
+        });
+        return overloads.stream().findFirst();
     }
 }
--- a/src/main/java/wrenkeel/soak/Oracle.java
+++ b/src/main/java/wrenkeel/soak/Oracle.java
@@ -211,18 +211,31 @@
             for (History.Interval outage : outages) {
                 long nextOutageAt = outages.stream().mapToLong(History.Interval::from)
                     .filter(from -> from > outage.to()).min().orElse(Long.MAX_VALUE);
-                List<Long> calls = history.calls().stream().filter(call -> call.endpoint() == endpoint)
-                    .map(History.Call::atMillis).filter(at -> at < nextOutageAt).sorted().toList();
+                List<ColdStartBudget.TimedCall> calls = history.calls().stream()
+                    .filter(call -> call.endpoint() == endpoint && call.atMillis() < nextOutageAt)
+                    .sorted(Comparator.comparingLong(History.Call::atMillis))
+                    .map(call -> new ColdStartBudget.TimedCall(call.atMillis(),
+                        wasCalledDuring(outage, endpoint, call.relay()))).toList();
                 ColdStartBudget.WorstWindow worstWindow = budget.worstWindow(outage.to(), calls);
                 if (worstWindow.ratio() > 1) {
+                    ColdStartBudget.Overload first =
+                        budget.firstOverload(outage.to(), calls).orElseThrow();
                     addFinding("cold endpoint overrun", worstWindow.endMillis(), "endpoint " + endpoint
                         + ", out until " + outage.to() + ": " + worstWindow.calls() + " calls in "
-                        + OVERLOAD_WINDOW_MS + " ms, it bears " + Math.round(worstWindow.bound()));
+                        + OVERLOAD_WINDOW_MS + " ms, it bears " + Math.round(worstWindow.bound())
+                        + "; first overrun with " + first.calls() + " calls, " + first.toldCalls()
+                        + " of relays that had met the outage");
                 }
             }
         });
     }
 
+    /** True if a call of the relay reached the endpoint in an outage. */
+    private boolean wasCalledDuring(History.Interval outage, int endpoint, int relay) {
+        return history.calls().stream().anyMatch(call -> call.endpoint() == endpoint && call.relay() == relay
+            && call.atMillis() >= outage.from() && call.atMillis() < outage.to());
+    }
+
     /** Checks that bad clients receive an error or a close in time. */
     private void checkBadClients() {
         for (History.BadClientResult client : history.badClients()) {
--- a/src/main/java/wrenkeel/soak/OutageRun.java
+++ b/src/main/java/wrenkeel/soak/OutageRun.java
@@ -2,14 +2,15 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.Callable;
@@ -20,7 +21,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.Stream;
 import wrenkeel.scale.CallObserver;
 import wrenkeel.scale.ClientObserver;
 import wrenkeel.scale.EndpointModel;
@@ -34,51 +34,47 @@
 import wrenkeel.scale.Traffic;
 
 /**
- * A run of real relays against one destination that has an outage and returns cold, while some of the relays
- * are killed and restarted. The result compares the calls of all relays together in the cold time with the
- * destination's {@link ColdStartBudget}. Not for several threads.
+ * A run of real relays against one destination that has an outage and returns cold, in a drawn
+ * {@link OutageShape}. The calls of all relays together in the cold time are compared with the destination's
+ * {@link ColdStartBudget}. Not for several threads.
  */
 final class OutageRun implements AutoCloseable {
-    /**
-     * What happens in a run.
-     *
-     * @param seed selects the relays that are killed and the random times of the messages
-     * @param relays number of relays
-     * @param messagesPerSecond messages a second that clients submit to all relays together
-     * @param capacityPerSecond calls a second that the warm destination takes
-     * @param outageStanding what the destination does with calls during the outage
-     * @param outageMillis length of the outage
-     * @param killFraction fraction of the relays that are killed, 0 to 1
-     * @param killBeforeReturnMillis time from the kill to the end of the outage; negative for a later kill
-     * @param keepsStateFolder whether the restarted relays have the state folder of the killed ones
-     * @param secondKillAfterReturnMillis time from the end of the outage to a second kill of the same relays;
-     *     0 for none
-     */
-    record Plan(long seed, int relays, double messagesPerSecond, double capacityPerSecond,
-                EndpointModel.Mode outageStanding, long outageMillis, double killFraction,
-                long killBeforeReturnMillis, boolean keepsStateFolder, long secondKillAfterReturnMillis) { }
-
     /**
      * What was observed.
      *
      * @param worstWindow the window of the cold time with the most calls compared with the budget
+     * @param overload the first window over the budget, if there is one
      * @param submitted messages that clients submitted
      * @param delivered messages that the destination answered with 200
-     * @param callsInOutage calls that the destination received during the outage
+     * @param callsInOutage calls that the destination received during outages
      */
-    record Result(ColdStartBudget.WorstWindow worstWindow, int submitted, int delivered,
-                  int callsInOutage) { }
+    record Result(ColdStartBudget.WorstWindow worstWindow, Optional<ColdStartBudget.Overload> overload,
+                  int submitted, int delivered, int callsInOutage) {
+        /** Whether the destination would have failed again by calls of relays that knew of the outage. */
+        boolean isBroken() {
+            return overload.isPresent() && overload.get().isBroken();
+        }
+    }
+
+    /** A call that the destination received. */
+    private record ReceivedCall(int relay, long atMillis) { }
+
+    /** A time in which the destination was out. */
+    private record Outage(long fromMillis, long toMillis) {
+        boolean contains(long millis) {
+            return millis >= fromMillis && millis < toMillis;
+        }
+    }
 
-    /** Traffic before the outage. */
-    private static final long WARM_UP_MS = 15_000;
     /** Time from a kill to the restart. */
     private static final long RESTART_DELAY_MS = 600;
-    /** How the destination's capacity grows back; see {@link ColdStartBudget}. */
-    private static final long COLD_MS = 10_000, OVERLOAD_WINDOW_MS = 2_000;
-    private static final double COLD_CAPACITY_SHARE = 0.2, OVERLOAD_MULTIPLE = 2;
+    private static final long COLD_MS = Oracle.COLD_MS;
+    private static final int RELAYS_PER_BUSY_RELAY = 10;
+    /** Wait that a rejection asks for. */
+    private static final long REJECTION_WAIT_MS = 500;
     private static final Duration START_TIMEOUT = Duration.ofSeconds(30);
     private static final int MAX_CONNECTIONS = 50, BODY_BYTES = 100, THREADS = 2;
-    private static final long LIFETIME_MS = 28_000, TARGET_TIME_MS = 3_000, CLIENT_TIMEOUT_MS = 400;
+    private static final long TARGET_TIME_MS = 3_000, CLIENT_TIMEOUT_MS = 400;
     private static final long ANSWER_DELAY_MICROS = 5_000;
     /** A message's sequence number has its relay's number above so many bits, and a counter below. */
     private static final int SEQUENCE_BITS = 32;
@@ -88,19 +84,22 @@
     private static final class RelayWithClients {
         final RelayProcess process;
         final StandInClients clients;
+        /** Messages a second that its clients submit outside of quiet spells and bursts. */
+        final double messagesPerSecond;
 
-        RelayWithClients(RelayProcess process, StandInClients clients) {
+        RelayWithClients(RelayProcess process, StandInClients clients, double messagesPerSecond) {
             this.process = process;
             this.clients = clients;
+            this.messagesPerSecond = messagesPerSecond;
         }
     }
 
-    private final Plan plan;
+    private final OutageShape shape;
     private final StandInDestinations destination;
     private final StandInAgent agent;
     private final List<RelayWithClients> relays = new ArrayList<>();
-    /** When the destination received each call. */
-    private final List<Long> callMillis = Collections.synchronizedList(new ArrayList<>());
+    private final List<ReceivedCall> calls = Collections.synchronizedList(new ArrayList<>());
+    private final List<Outage> outages = new ArrayList<>();
     private final AtomicInteger submitted = new AtomicInteger();
     /** Sequence numbers of the messages that the destination has answered with 200. */
     private final Set<Long> deliveredSequences = ConcurrentHashMap.newKeySet();
@@ -111,57 +110,146 @@
     });
 
     /** {@code root}: a built checkout of the repository, whose relay is run. */
-    OutageRun(Path root, Plan plan) throws IOException, InterruptedException {
-        this.plan = plan;
+    OutageRun(Path root, OutageShape shape) throws IOException, InterruptedException {
+        this.shape = shape;
         destination = new StandInDestinations(1, EndpointModel.Behaviour.unlimited(ANSWER_DELAY_MICROS, 0), 1,
-            THREADS, plan.seed, System::nanoTime);
+            THREADS, shape.seed(), System::nanoTime);
         destination.setObserver(new CallRecorder());
-        agent = new StandInAgent(new HostCatalog(1, plan.seed,
+        agent = new StandInAgent(new HostCatalog(1, shape.seed(),
             host -> "127.0.0.1:" + destination.ports().get(host)), notice -> { });
-        RelaySettings settings = RelaySettings.typical("n").withRelays(plan.relays).withProfiles(List.of(
-            new RelaySettings.Profile(MESSAGE_CLASS, TARGET_TIME_MS, LIFETIME_MS, "retryable", 0)));
+        RelaySettings settings = RelaySettings.typical("n").withRelays(shape.relays()).withProfiles(List.of(
+            new RelaySettings.Profile(MESSAGE_CLASS, TARGET_TIME_MS, shape.lifetimeMillis(), "retryable",
+                0)));
         Traffic traffic = new Traffic(1, 0, BODY_BYTES,
-            List.of(new Traffic.ClassShare(MESSAGE_CLASS, 1, LIFETIME_MS, false)), List.of(),
+            List.of(new Traffic.ClassShare(MESSAGE_CLASS, 1, shape.lifetimeMillis(), false)), List.of(),
             MAX_CONNECTIONS);
-        for (int i = 0; i < plan.relays; i++) {
+        int busyRelays = (shape.relays() + RELAYS_PER_BUSY_RELAY - 1) / RELAYS_PER_BUSY_RELAY;
+        double trafficUnit = shape.messagesPerSecond()
+            / (shape.relays() + busyRelays * (shape.busyFactor() - 1));
+        for (int i = 0; i < shape.relays(); i++) {
             InetSocketAddress address = PortAllocator.allocate();
             RelayProcess process = new RelayProcess(root, settings.withName("n" + i), agent.address(), null,
                 Map.of("EDGE_LISTEN", address.getAddress().getHostAddress() + ":" + address.getPort()));
-            relays.add(new RelayWithClients(process, new StandInClients(address, traffic, plan.seed + i,
-                CLIENT_TIMEOUT_MS, (long) i << SEQUENCE_BITS, new ClientRecorder())));
+            StandInClients clients = new StandInClients(address, traffic, shape.seed() + i, CLIENT_TIMEOUT_MS,
+                (long) i << SEQUENCE_BITS, new ClientRecorder());
+            relays.add(new RelayWithClients(process, clients,
+                trafficUnit * (i % RELAYS_PER_BUSY_RELAY == 0 ? shape.busyFactor() : 1)));
         }
     }
 
-    /** Runs the plan; returns after the cold time. */
+    /** Runs the shape; returns after the last cold time. */
     Result run() throws IOException, InterruptedException, ExecutionException {
         runOnAll(relays, relay -> {
             start(relay.process);
             return null;
         });
+        long firstOutageAt = nowMillis() + shape.startMillis();
+        setTraffic(1);
+        List<Future<?>> events = new ArrayList<>();
+        events.add(at(firstOutageAt + shape.quietSpell().fromMillis(), () -> {
+            if (shape.quietSpell().untilMillis() > shape.quietSpell().fromMillis()) {
+                setTraffic(0);
+            }
+        }));
+        events.add(at(firstOutageAt + shape.quietSpell().untilMillis(), () -> setTraffic(1)));
+        if (shape.burst().seconds() > 0) {
+            long burstAt = firstOutageAt + shape.burst().atMillis();
+            double factor = 1 + shape.burst().seconds() * 1_000 / OutageShape.Burst.LENGTH_MILLIS;
+            events.add(at(burstAt, () -> setTraffic(factor)));
+            events.add(at(burstAt + OutageShape.Burst.LENGTH_MILLIS, () -> setTraffic(1)));
+        }
+        if (shape.restart().share() > 0) {
+            events.add(at(firstOutageAt + shape.outageMillis() + shape.restart().afterReturnMillis(),
+                this::killAndRestart));
+        }
+        for (int number = 0; number < shape.outageCount(); number++) {
+            sleepUntilMillis(firstOutageAt + number * shape.intervalMillis());
+            holdOutage();
+        }
+        sleepUntilMillis(lastReturnAt() + COLD_MS);
+        for (Future<?> event : events) {
+            event.get();
+        }
+        return result();
+    }
+
+    private void setTraffic(double factor) throws InterruptedException {
         for (RelayWithClients relay : relays) {
-            relay.clients.setRate(plan.messagesPerSecond / plan.relays);
+            relay.clients.setRate(factor * relay.messagesPerSecond);
         }
-        TimeUnit.MILLISECONDS.sleep(WARM_UP_MS);
-        int callsBefore = callMillis.size();
-        destination.setMode(0, plan.outageStanding);
-        long returnAt = nowMillis() + plan.outageMillis;
-        Future<?> restarts = tasks.submit(() -> {
-            killAndRestart(returnAt - plan.killBeforeReturnMillis);
-            if (plan.secondKillAfterReturnMillis > 0) {
-                killAndRestart(returnAt + plan.secondKillAfterReturnMillis);
+    }
+
+    /** Puts the destination into an outage, and ends it as the shape says. */
+    private void holdOutage() throws InterruptedException {
+        long from = nowMillis();
+        if (shape.failure() == OutageShape.Failure.REJECTED_WITH_WAIT) {
+            for (long end = from + shape.outageMillis(); nowMillis() < end;) {
+                destination.refuseFor(0, Math.min(REJECTION_WAIT_MS, end - nowMillis()));
+                TimeUnit.MILLISECONDS.sleep(Math.max(1, Math.min(REJECTION_WAIT_MS, end - nowMillis()) - 1));
+            }
+        } else {
+            destination.setMode(0, modeOf(shape.failure()));
+            sleepUntilMillis(from + shape.outageMillis());
+            destination.setMode(0, EndpointModel.Mode.SERVING);
+            if (shape.failure() == OutageShape.Failure.NO_RESPONSE_THEN_RESET) {
+                destination.closeConnections(0);
             }
+        }
+        outages.add(new Outage(from, nowMillis()));
+    }
+
+    /** Whether runs with real endpoints can play this failure. */
+    static boolean canPlay(OutageShape.Failure failure) {
+        return failure != OutageShape.Failure.CONNECTION_RESET
+            && failure != OutageShape.Failure.NO_RESPONSE_THEN_ANSWERED;
+    }
+
+    private static EndpointModel.Mode modeOf(OutageShape.Failure failure) {
+        return switch (failure) {
+            case CONNECTION_REFUSED -> EndpointModel.Mode.REFUSING;
+            case REJECTED -> EndpointModel.Mode.UNAVAILABLE;
+            case ERROR_RESPONSE -> EndpointModel.Mode.FAILING;
+            case NO_RESPONSE, NO_RESPONSE_THEN_RESET -> EndpointModel.Mode.SILENT;
+            default -> throw new IllegalArgumentException("no endpoint fails by " + failure);
+        };
+    }
+
+    private long lastReturnAt() {
+        return outages.get(outages.size() - 1).toMillis;
+    }
+
+    /** Checks the time after the last outage. A relay that called during it counts as told. */
+    private Result result() {
+        List<ReceivedCall> all = List.copyOf(calls);
+        Outage last = outages.get(outages.size() - 1);
+        boolean unseenCalls = shape.failure() == OutageShape.Failure.CONNECTION_REFUSED;
+        Set<Integer> told = new HashSet<>();
+        all.stream().filter(call -> last.contains(call.atMillis)).forEach(call -> told.add(call.relay));
+        List<ColdStartBudget.TimedCall> timedCalls = all.stream()
+            .map(call -> new ColdStartBudget.TimedCall(call.atMillis,
+                unseenCalls || told.contains(call.relay)))
+            .sorted(Comparator.comparingLong(ColdStartBudget.TimedCall::atMillis)).toList();
+        ColdStartBudget budget = new ColdStartBudget(shape.capacityPerSecond() * shape.limitFactor(),
+            Oracle.COLD_CAPACITY_SHARE, COLD_MS, Oracle.OVERLOAD_MULTIPLE, Oracle.OVERLOAD_WINDOW_MS);
+        int callsInOutage = (int) all.stream()
+            .filter(call -> outages.stream().anyMatch(outage -> outage.contains(call.atMillis))).count();
+        return new Result(budget.worstWindow(last.toMillis, timedCalls),
+            budget.firstOverload(last.toMillis, timedCalls), submitted.get(), deliveredSequences.size(),
+            callsInOutage);
+    }
+
+    private interface TimedEvent {
+        void run() throws Exception;
+    }
+
+    /** Runs an event at a time, on a thread of its own. */
+    private Future<?> at(long millis, TimedEvent event) {
+        Callable<Void> task = () -> {
+            sleepUntilMillis(millis);
+            event.run();
             return null;
-        });
-        sleepUntilMillis(returnAt);
-        int callsInOutage = callMillis.size() - callsBefore;
-        destination.setMode(0, EndpointModel.Mode.SERVING);
-        long returned = nowMillis();
-        sleepUntilMillis(returned + COLD_MS);
-        restarts.get();
-        ColdStartBudget budget = new ColdStartBudget(plan.capacityPerSecond, COLD_CAPACITY_SHARE, COLD_MS,
-            OVERLOAD_MULTIPLE, OVERLOAD_WINDOW_MS);
-        return new Result(budget.worstWindow(returned, List.copyOf(callMillis)), submitted.get(),
-            deliveredSequences.size(), callsInOutage);
+        };
+        return tasks.submit(task);
     }
 
     private static void start(RelayProcess process) throws IOException, InterruptedException {
@@ -171,30 +259,19 @@
         }
     }
 
-    /** Kills a fraction of the relays, the same ones for the same seed, and starts them again. */
-    private void killAndRestart(long killAt) throws InterruptedException, ExecutionException {
+    /** Kills a share of the relays, the same ones for the same seed, and starts them again. */
+    private void killAndRestart() throws InterruptedException, ExecutionException {
         List<RelayWithClients> shuffled = new ArrayList<>(relays);
-        Collections.shuffle(shuffled, new Random(plan.seed));
-        sleepUntilMillis(killAt);
-        runOnAll(shuffled.subList(0, (int) Math.round(plan.killFraction * relays.size())), relay -> {
+        Collections.shuffle(shuffled, new Random(shape.seed()));
+        int count = Math.max(1, (int) Math.round(shape.restart().share() * relays.size()));
+        runOnAll(shuffled.subList(0, count), relay -> {
             relay.process.kill();
-            if (!plan.keepsStateFolder) {
-                deleteContents(relay.process.stateFolder());
-            }
             TimeUnit.MILLISECONDS.sleep(RESTART_DELAY_MS);
             start(relay.process);
             return null;
         });
     }
 
-    private static void deleteContents(Path folder) throws IOException {
-        try (Stream<Path> all = Files.walk(folder)) {
-            for (Path file : all.sorted(Comparator.reverseOrder()).filter(f -> !f.equals(folder)).toList()) {
-                Files.delete(file);
-            }
-        }
-    }
-
     /** A step that may throw; it returns null. */
     private interface RelayTask {
         Void run(RelayWithClients relay) throws Exception;
@@ -230,7 +307,8 @@
     private final class CallRecorder implements CallObserver {
         @Override
         public void callReceived(int endpoint, MessageId id, EndpointModel.Response verdict, long nowNanos) {
-            callMillis.add(TimeUnit.NANOSECONDS.toMillis(nowNanos));
+            calls.add(new ReceivedCall((int) (id.sequence() >> SEQUENCE_BITS),
+                TimeUnit.NANOSECONDS.toMillis(nowNanos)));
         }
 
         @Override
--- a/src/main/java/wrenkeel/soak/OutageShape.java
+++ b/src/main/java/wrenkeel/soak/OutageShape.java
@@ -102,6 +102,29 @@
     /** Time within which a second outage begins after the first return, which is within the cold time. */
     private static final long MAX_SECOND_OUTAGE_DELAY_MS = 8_000;
 
+    /**
+     * An outage of one endpoint in steady, even traffic, with no limits listed.
+     *
+     * @param seed seed of the run
+     * @param relays number of relays
+     * @param messagesPerSecond messages a second that all relays together get
+     * @param capacityPerSecond calls a second that the warm destination takes
+     * @param failure how calls fail
+     * @param outageMillis length of the outage
+     */
+    public static OutageShape steady(long seed, int relays, double messagesPerSecond,
+                                     double capacityPerSecond, Failure failure, long outageMillis) {
+        return new OutageShape(seed, relays, 1, messagesPerSecond, 1, capacityPerSecond, Weights.NONE, 28_000,
+            failure, 15_000, outageMillis, 1, 0, 1, QuietSpell.NONE, Burst.NONE, Restart.NONE);
+    }
+
+    /** The same shape with this quiet spell and restart. */
+    public OutageShape with(QuietSpell newQuietSpell, Restart newRestart) {
+        return new OutageShape(seed, relays, endpoints, messagesPerSecond, busyFactor, capacityPerSecond,
+            weights, lifetimeMillis, failure, startMillis, outageMillis, outageCount, intervalMillis,
+            limitFactor, newQuietSpell, burst, newRestart);
+    }
+
     /** Draws a shape of any size. */
     public static OutageShape draw(long seed) {
         return draw(seed, FLEET_SIZES);
