Bind a relay to the slow start from the first call that may have met an outage

Cause: the rule counts a relay as told from its first failed or refused call on, the module began the slow start three refusals, a second failure or a time-out later. Relays with one message in some seconds never got that far within an outage: a call that hung and was cut at the return was taken for an isolated failure, its repetition went out one fixed gap later or at once to the sibling endpoint, and a first refusal left the endpoint good. Beside it the relays told used up to 0.95 of what the destination can take, and those that know nothing send on top of that.

Module, tags of the calls at the falls: most were repetitions to an endpoint whose health had never changed (the sibling), then to suspected ones.

Now a failure is a likely outage if the call hung for 0.4 s or no call was answered for 5 s, and so is the first refusal after such a silence in a fleet of more than three. Probe gaps are drawn from 0.3 to 0.5 s. Relays told use 0.64 of the budget, 0.76 where the fleet may send under 30 calls a window.

The response times of a destination moved from Control to State, unchanged.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -33,8 +33,6 @@
     private static final double COPY_DELAY_PERCENTILE = 0.95;
     /** Response times kept for the copy delay: enough to have a tail, few enough to follow changes. */
     private static final int LATENCY_SAMPLES = 48;
-    /** Response times that must be known before the copy delay is derived from them. */
-    private static final int MIN_LATENCY_SAMPLES = 8;
     /** Copies of one message. The usual example of speculative execution has one as well. */
     private static final int MAX_COPIES = 1;
     /** Tokens that the rate limit's bucket must hold for a copy to be sent. */
@@ -49,12 +47,6 @@
     private static final double MAX_WINDOW_SLOT_SHARE = 0.75;
     /** The same while the destination fails or is slow. */
     private static final double DEGRADED_SLOT_SHARE = 0.3;
-    /** A destination is slow when its recent response time is over this multiple of its usual one. */
-    private static final double SLOW_LATENCY_FACTOR = 2.5;
-    /** Weight of a new answer in the recent response time. */
-    private static final double RECENT_LATENCY_WEIGHT = 0.3;
-    /** Weight of a new answer in the usual response time. */
-    private static final double BASELINE_LATENCY_WEIGHT = 0.03;
 
     // Attempt timeouts.
     /** Attempt timeout as a multiple of the copy delay. */
@@ -195,12 +187,23 @@
 
     // Probes and slow start.
     /** Shortest time between probes of an endpoint. */
-    private static final long PROBE_GAP_MICROS = 400 * MS;
+    private static final long MIN_PROBE_GAP_MICROS = 300 * MS;
+    /** Random part of the time between probes. */
+    private static final long PROBE_GAP_SPREAD_MICROS = 200 * MS;
+    /**
+     * Within this, the relays that met a likely outage at the same time send their first probes, however
+     * little traffic they have.
+     */
+    private static final long FIRST_PROBE_SPREAD_MICROS = 15 * SECOND;
+    /** The same after a refusal, which is mostly due to a limit. */
+    private static final long FIRST_PROBE_AFTER_REFUSAL_SPREAD_MICROS = 10 * SECOND;
+    /** A call that fails after this long may have been cut off by the end of an outage. */
+    private static final long HUNG_CALL_MICROS = 400 * MS;
     /** A suspicion that is cleared within this leaves no slow start. */
     private static final long SUSPICION_MICROS = 2 * SECOND;
     /**
-     * When the latest answered call was sent longer than this before an answered probe or a repeated refusal,
-     * the endpoint may have been out all that time.
+     * When the latest answered call was sent longer than this before one that failed or was refused, the
+     * endpoint may have been out all that time.
      */
     private static final long LONG_SILENCE_MICROS = 5 * SECOND;
     /**
@@ -878,7 +881,7 @@
     private long attemptTimeout(Message message) {
         Destination destination = message.destination;
         double base = Math.max(MIN_TIMEOUT_MICROS, TIMEOUT_FACTOR * copyDelay(destination));
-        base = destination.latencies.count < MIN_LATENCY_SAMPLES ? INITIAL_TIMEOUT_MICROS
+        base = !destination.latencies.isSufficient() ? INITIAL_TIMEOUT_MICROS
             : Math.min(MAX_TIMEOUT_MICROS, base);
         base *= message.messageClass.effect() == Effect.UNSAFE ? UNSAFE_TIMEOUT_FACTOR : 1;
         return Math.min(message.deadline - now, (long) base);
@@ -887,7 +890,7 @@
     // ---- Copies (hedged requests) ---------------------------------------------------------------
     /** The time after which an attempt without an answer is worth a copy; most answers arrive before it. */
     private long copyDelay(Destination destination) {
-        return destination.latencies.count < MIN_LATENCY_SAMPLES ? INITIAL_COPY_DELAY_MICROS
+        return !destination.latencies.isSufficient() ? INITIAL_COPY_DELAY_MICROS
             : destination.latencies.percentile(COPY_DELAY_PERCENTILE);
     }
 
@@ -910,7 +913,7 @@
         // Unsent messages go first. Copies are limited to a share of all sends, since in an overload every
         // call exceeds the copy delay, and unlimited copies would add to the load of a full destination.
         if (message.destination.waitingMessages == 0 && message.destination.copyTokens >= 1
-            && !isSlow(message.destination)) {
+            && !message.destination.isSlow()) {
             double lowestCost = Double.MAX_VALUE;
             for (EndpointState endpoint : message.destination.endpoints.values()) {
                 double cost = cost(message, endpoint);
@@ -935,18 +938,13 @@
     private int callLimit(Destination destination) {
         boolean allOut = destination.endpoints.values().stream()
             .allMatch(endpoint -> endpoint.health == Health.OUT);
-        boolean degraded = isSlow(destination) || 2 * destination.overdueAttempts > destination.openCalls
+        boolean degraded = destination.isSlow() || 2 * destination.overdueAttempts > destination.openCalls
             || allOut;
         // A destination that takes calls and does not answer must not occupy the slots until they time out.
         double cap = (degraded ? DEGRADED_SLOT_SHARE : MAX_WINDOW_SLOT_SHARE) * settings.limits().callSlots();
         return (int) Math.max(1, Math.min(destination.congestionWindow, cap));
     }
 
-    private static boolean isSlow(Destination destination) {
-        return destination.baselineLatency > 0
-            && destination.recentLatency > SLOW_LATENCY_FACTOR * destination.baselineLatency;
-    }
-
     /** Updates rates, windows and health by the outcome of an attempt. */
     private void recordOutcome(Attempt attempt, AttemptEnded event) {
         Destination destination = attempt.endpoint.destination;
@@ -967,7 +965,7 @@
             ? attempt.endpoint.consecutiveSocketFailures + 1 : 0;
         switch (event.outcome()) {
             case OK -> {
-                recordLatency(destination, attempt.endpoint, event.latency());
+                destination.recordLatency(attempt.endpoint, event.latency());
                 idleHoldMicros[kind] = Math.min(settings.limits().keepAlive(),
                     idleHoldMicros[kind] * IDLE_HOLD_GROWTH);
                 double trust = Math.max(idleTrustMicros[kind] * IDLE_HOLD_GROWTH,
@@ -1030,26 +1028,12 @@
         if (attempt.connectionIdleTime < 0) {
             idleTrustMicros[attempt.endpoint.kind] = Math.min(settings.limits().keepAlive(), trust * 2);
         } else if (attempt.connectionIdleTime >= MIN_IDLE_TRUST_MICROS
-            && attempt.endpoint.consecutiveFailures == 0 && !isSlow(attempt.endpoint.destination)) {
+            && attempt.endpoint.consecutiveFailures == 0 && !attempt.endpoint.destination.isSlow()) {
             idleTrustMicros[attempt.endpoint.kind] = Math.min(trust,
                 Math.max(MIN_IDLE_TRUST_MICROS, attempt.connectionIdleTime / 2.0));
         }
     }
 
-    private void recordLatency(Destination destination, EndpointState endpoint, long latency) {
-        destination.latencies.add(latency);
-        endpoint.latency = endpoint.latency == 0 ? latency
-            : endpoint.latency + RECENT_LATENCY_WEIGHT * (latency - endpoint.latency);
-        destination.recentLatency = destination.recentLatency == 0 ? latency
-            : destination.recentLatency + RECENT_LATENCY_WEIGHT * (latency - destination.recentLatency);
-        double sample = destination.baselineLatency == 0 ? latency
-            : Math.min(latency, SLOW_LATENCY_FACTOR * destination.baselineLatency);
-        double weight = destination.latencies.count < 2 * MIN_LATENCY_SAMPLES ? RECENT_LATENCY_WEIGHT
-            : BASELINE_LATENCY_WEIGHT;
-        destination.baselineLatency = destination.baselineLatency == 0 ? latency
-            : destination.baselineLatency + weight * (sample - destination.baselineLatency);
-    }
-
     /** Listed calls per second that a limit scope accepts from all relays together. */
     private double listedRate(LimitScope scope) {
         return settings.weights() == Weights.NONE ? UNLISTED_CALLS_PER_SECOND : scope.weight;
@@ -1132,11 +1116,13 @@
         destination.backoffUntil = destination.consecutiveRefusals >= destination.endpoints.size()
             ? scope.backoffUntil : destination.backoffUntil;
         scope.bucket.tokens = Math.min(scope.bucket.tokens, 1);
-        boolean longSilent = destination.consecutiveRefusals > 1 && attempt.endpoint.lastSuccessSentAt >= 0
-            && attempt.sentAt - attempt.endpoint.lastSuccessSentAt > LONG_SILENCE_MICROS;
         if (retryAfter > OUTAGE_RETRY_AFTER_MICROS || destination.consecutiveRefusals >= OUTAGE_REFUSALS
-            || longSilent || attempt.endpoint.health == Health.OUT) {
+            || attempt.endpoint.health == Health.OUT) {
             eject(attempt.endpoint, true, HealthReason.REFUSALS);
+        } else if (attempt.endpoint.health == Health.GOOD && settings.relayCount() > SMALL_FLEET_RELAYS
+            && attempt.sentAt - attempt.endpoint.limitScope.lastSuccessSentAt > LONG_SILENCE_MICROS) {
+            attempt.endpoint.outageLikely = true;
+            eject(attempt.endpoint, false, HealthReason.REFUSED_AFTER_SILENCE);
         }
     }
 
@@ -1173,10 +1159,10 @@
         // An endpoint with little traffic shows a single failure in an outage. The outage therefore counts as
         // confirmed unless the probe came soon after the failure and the endpoint had answered just before.
         endpoint.outageConfirmed |= endpoint.health == Health.OUT
-            && (attempt.sentAt - endpoint.outSince > SUSPICION_MICROS
-                || attempt.sentAt - endpoint.lastSuccessSentAt > LONG_SILENCE_MICROS);
+            && (endpoint.outageLikely || attempt.sentAt - endpoint.outSince > SUSPICION_MICROS);
         endpoint.lastSuccessAt = now;
         endpoint.lastSuccessSentAt = Math.max(endpoint.lastSuccessSentAt, attempt.sentAt);
+        scope.lastSuccessSentAt = Math.max(scope.lastSuccessSentAt, attempt.sentAt);
         endpoint.failureShare *= 1 - OUTCOME_WEIGHT;
         if (endpoint.health != Health.OUT || attempt.sentAt >= endpoint.outSince) {
             endpoint.consecutiveFailures = 0;
@@ -1207,7 +1193,8 @@
         // A busy endpoint that fails part of its calls answers the others: recent answers mean no outage.
         boolean silent = now - endpoint.lastSuccessAt >= RECENT_SUCCESS_MICROS;
         boolean probe = endpoint.health == Health.OUT && attempt.sentAt >= endpoint.outSince;
-        endpoint.lastFailureTimedOut = attempt.call.lastOutcome == Outcome.TIMEOUT;
+        endpoint.outageLikely = now - attempt.sentAt >= HUNG_CALL_MICROS
+            || attempt.sentAt - endpoint.lastSuccessSentAt > LONG_SILENCE_MICROS;
         if (prevails || probe || silent && endpoint.consecutiveFailures >= OUTAGE_FAILURES) {
             eject(endpoint, true, probe ? HealthReason.TRIAL_FAILED : HealthReason.FAILURES);
         } else if (endpoint.health == Health.RETURNING && attempt.sentAt >= endpoint.returnedAt) {
@@ -1231,6 +1218,7 @@
             beginSlowStart(endpoint);
             endpoint.outageConfirmed = false;
             endpoint.outSince = now;
+            endpoint.nextProbeAt = now + randomProbeGap();
         }
         endpoint.health = Health.OUT;
         boolean newlyConfirmed = confirmed && !endpoint.outageConfirmed;
@@ -1242,7 +1230,7 @@
         if (!wasOut || newlyConfirmed) {
             reportHealth(endpoint, reason);
         }
-        if (newlyConfirmed) {
+        if (newlyConfirmed || !wasOut && endpoint.outageLikely) {
             suspectSiblings(endpoint);
         }
     }
@@ -1255,6 +1243,7 @@
         for (EndpointState other : endpoint.destination.endpoints.values()) {
             boolean silent = other.lastSuccessSentAt < endpoint.outSince - SIBLING_SUCCESS_MICROS;
             if (other.limitScope == endpoint.limitScope && other.health == Health.GOOD && silent) {
+                other.outageLikely = endpoint.outageLikely;
                 eject(other, false, HealthReason.SIBLING_OUT);
             }
         }
@@ -1279,7 +1268,7 @@
             if (endpoint.openProbes > 0) {
                 return NEVER;
             }
-            openAt = Math.max(openAt, Math.max(endpoint.outSince, endpoint.lastProbeAt) + PROBE_GAP_MICROS);
+            openAt = Math.max(openAt, endpoint.nextProbeAt);
         }
         if (!joinsCall && isSlowStarting(endpoint)) {
             openAt = Math.max(openAt, scope.slowStart.nextCallAt(settings, slowStartBudget(endpoint), now));
@@ -1295,10 +1284,9 @@
 
     /** True when the slow start limits the calls to an endpoint. */
     private static boolean isSlowStarting(EndpointState endpoint) {
-        // A suspicion is exempt: a single call that failed at once may be an isolated failure. A call that
-        // timed out is not: it met the fault long ago, and the endpoint may have returned cold since.
+        // A single call that failed at once, soon after others were answered, may be an isolated failure.
         boolean suspected = endpoint.health == Health.OUT && !endpoint.outageConfirmed
-            && !endpoint.lastFailureTimedOut && !endpoint.limitScope.slowStart.isOutageConfirmed();
+            && !endpoint.outageLikely && !endpoint.limitScope.slowStart.isOutageConfirmed();
         return endpoint.health != Health.GOOD && !suspected;
     }
 
@@ -1307,7 +1295,10 @@
         if (endpoint.destination.unhealthyEndpoints(endpoint.limitScope) == 0) {
             double deliveredPerSecond = endpoint.limitScope.deliveryRate.perSecond(now, RATE_SPAN_MICROS,
                 Math.max(MIN_RATE_AGE_MICROS, now - startedAt));
-            endpoint.limitScope.slowStart = new SlowStart(deliveredPerSecond, now, 2 * random.nextDouble());
+            long firstProbeSpread = endpoint.destination.consecutiveRefusals > 0
+                ? FIRST_PROBE_AFTER_REFUSAL_SPREAD_MICROS : FIRST_PROBE_SPREAD_MICROS;
+            endpoint.limitScope.slowStart = new SlowStart(deliveredPerSecond, now, 2 * random.nextDouble(),
+                now + (long) (firstProbeSpread * random.nextDouble()));
         }
     }
 
@@ -1330,11 +1321,16 @@
         }
         if (endpoint.health == Health.OUT) {
             endpoint.openProbes++;
-            endpoint.lastProbeAt = now;
+            endpoint.nextProbeAt = now + randomProbeGap();
             attempt.isProbe = true;
         }
     }
 
+    /** Time to the next probe: relays that met an outage in one instant must not probe in one instant. */
+    private long randomProbeGap() {
+        return MIN_PROBE_GAP_MICROS + (long) (PROBE_GAP_SPREAD_MICROS * random.nextDouble());
+    }
+
     /** Updates the number of endpoints that are listed as ready and are out with a confirmed outage. */
     private void updateUnavailable(EndpointState endpoint) {
         boolean listed = endpoint.destination.endpoints.get(endpoint.id) == endpoint;
@@ -1411,7 +1407,7 @@
             && endpoint.destination.unhealthyEndpoints(endpoint.limitScope) == 0;
         if (firstOfScope) {
             endpoint.limitScope.slowStart = new SlowStart(snapshot.carriedPerSecond(), now,
-                0.5 + random.nextDouble());
+                0.5 + random.nextDouble(), NEVER);
         }
         endpoint.outageConfirmed = true;
         endpoint.limitScope.slowStart.confirmOutage();
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -268,6 +268,7 @@
         /** Several calls failed in a row, or most of the recent ones. */ FAILURES,
         /** A probe failed. */ TRIAL_FAILED,
         /** It refused repeatedly, or told the relay to wait for long. */ REFUSALS,
+        /** It refused a call after it had not answered for long. */ REFUSED_AFTER_SILENCE,
         /** Another endpoint of its destination is out, and it has not answered lately. */ SIBLING_OUT,
         /** It is new to a destination of which no endpoint answers. */ NEW_AMONG_OUT,
         /** The previous process handed it over as out or returning. */ RESTORED,
--- a/src/main/java/wrenkeel/SlowStart.java
+++ b/src/main/java/wrenkeel/SlowStart.java
@@ -18,8 +18,15 @@
  * <p>Times and spans are in microseconds.
  */
 final class SlowStart {
-    /** Share of the budget that is used. The rest covers random variation and calls already in flight. */
-    private static final double USABLE_BUDGET_SHARE = 0.95;
+    /** A time that is not reached. */
+    static final long NEVER = Long.MAX_VALUE;
+    /**
+     * Share of the budget that is used. Relays that know of the outage stay near two thirds of what the
+     * destination can take, since those that know nothing send on top of that.
+     */
+    private static final double USABLE_BUDGET_SHARE = 0.64;
+    /** The same where all relays together may send few calls per window, and the rule allows more slack. */
+    private static final double USABLE_SMALL_BUDGET_SHARE = 0.76;
     /** A rough listed rate may be too high by this factor. */
     private static final double ROUGH_WEIGHT_EXCESS = 1.5;
     /**
@@ -42,14 +49,18 @@
     private double spacingFactor;
     /** The outage is confirmed, not only suspected from a single failure. */
     private boolean outageConfirmed;
+    /** From this time on one call may be sent whatever the budget, to find out whether there is an outage. */
+    private long probeAt;
 
     /**
      * @param rateBeforeOutage calls per second that this relay delivered; 0 if unknown
      * @param spacingFactor random factor for the time to the first spaced call, 1 on average
+     * @param probeAt when the first call may be sent at the latest; {@link #NEVER} if the outage is known
      */
-    SlowStart(double rateBeforeOutage, long now, double spacingFactor) {
+    SlowStart(double rateBeforeOutage, long now, double spacingFactor, long probeAt) {
         this.rateBeforeOutage = rateBeforeOutage;
         this.spacingFactor = spacingFactor;
+        this.probeAt = probeAt;
         spacedFrom = now;
     }
 
@@ -61,6 +72,7 @@
     /** Records that the outage is confirmed, not only suspected. */
     void confirmOutage() {
         outageConfirmed = true;
+        probeAt = NEVER;
     }
 
     boolean isOutageConfirmed() {
@@ -76,6 +88,7 @@
         countedCalls.add(now);
         spacedFrom = now;
         spacingFactor = nextSpacingFactor;
+        probeAt = NEVER;
     }
 
     /** Makes the next spaced call wait as if a call had been sent now. */
@@ -130,7 +143,9 @@
         Rules rules = settings.rules();
         double sustainableCalls = rules.overloadFactor() * capacityShare * relayRate * unhealthyShare
             * rules.overloadWindow() / 1e6;
-        return Math.max(MIN_CALLS_PER_WINDOW, USABLE_BUDGET_SHARE * sustainableCalls);
+        double usableShare = sustainableCalls * settings.relayCount() < FEW_CALLS_PER_WINDOW
+            ? USABLE_SMALL_BUDGET_SHARE : USABLE_BUDGET_SHARE;
+        return Math.max(MIN_CALLS_PER_WINDOW, usableShare * sustainableCalls);
     }
 
     /**
@@ -144,6 +159,10 @@
      * @param callBudget the result of {@link #callBudget}
      */
     long nextCallAt(Settings settings, double callBudget, long now) {
+        return Math.min(probeAt, nextBudgetedCallAt(settings, callBudget, now));
+    }
+
+    private long nextBudgetedCallAt(Settings settings, double callBudget, long now) {
         double slack = slack(settings, callBudget);
         int unspaced = unspacedCalls(settings, callBudget);
         if (unspaced < 1) {
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -14,6 +14,9 @@
  * and spans are in microseconds of the module's clock. Nothing here is safe for use by several threads.
  */
 final class State {
+    /** A time before all others, whose distance from any of them can be computed. */
+    static final long LONG_AGO = Long.MIN_VALUE / 2;
+
     private State() { }
 
     /** What is to happen when a timer is due. */
@@ -221,6 +224,8 @@
         /** End of the wait that an endpoint asked for. */
         long retryAfterUntil;
         long backoffUntil;
+        /** The latest time at which a call that it answered was sent. */
+        long lastSuccessSentAt = LONG_AGO;
         /** When the limit was last met. */
         long limitMetAt;
         /** All calls. */
@@ -306,8 +311,8 @@
         boolean outageConfirmed;
         /** It is included in the number of endpoints that are listed as ready and are out. */
         boolean countedUnavailable;
-        /** Its latest failure was a timeout. */
-        boolean lastFailureTimedOut;
+        /** Its latest failure may belong to an outage, so that a slow start follows the suspicion. */
+        boolean outageLikely;
         Relay.Health health = Relay.Health.GOOD;
         /** Attempts in flight. */
         int inFlight;
@@ -325,14 +330,14 @@
         long backoffUntil;
         /** When it last answered. */
         long lastSuccessAt;
-        /** The latest time at which a call that it answered was sent; -1 before the first. */
-        long lastSuccessSentAt = -1;
+        /** The latest time at which a call that it answered was sent. */
+        long lastSuccessSentAt = LONG_AGO;
         /** When the present or latest outage began. */
         long outSince;
         /** When the latest outage ended, or slow start last began again. */
         long returnedAt;
-        /** When the latest call was sent while it was out. */
-        long lastProbeAt;
+        /** Earliest time of the next probe while it is out. */
+        long nextProbeAt;
         /** For each idle connection, the time at which it became idle; oldest first. */
         final ArrayDeque<Long> idleSince = new ArrayDeque<>(2);
         /** The latest call, which further messages of the same turn may join. */
@@ -363,6 +368,13 @@
      * when first needed.
      */
     static final class Destination {
+        /** A destination is slow when its recent response time is over this multiple of its usual one. */
+        private static final double SLOW_LATENCY_FACTOR = 2.5;
+        /** Weight of a new answer in the recent response time. */
+        private static final double RECENT_LATENCY_WEIGHT = 0.3;
+        /** Weight of a new answer in the usual response time. */
+        private static final double BASELINE_LATENCY_WEIGHT = 0.03;
+
         final long id;
         /** Its listed endpoints, by id. */
         final Map<Long, EndpointState> endpoints = new TreeMap<>();
@@ -446,6 +458,26 @@
                 .count();
         }
 
+        /** Records the response time of an answered call to one of its endpoints. */
+        void recordLatency(EndpointState endpoint, long latency) {
+            latencies.add(latency);
+            endpoint.latency = endpoint.latency == 0 ? latency
+                : endpoint.latency + RECENT_LATENCY_WEIGHT * (latency - endpoint.latency);
+            recentLatency = recentLatency == 0 ? latency
+                : recentLatency + RECENT_LATENCY_WEIGHT * (latency - recentLatency);
+            double sample = baselineLatency == 0 ? latency
+                : Math.min(latency, SLOW_LATENCY_FACTOR * baselineLatency);
+            double weight = latencies.count < 2 * LatencySamples.MIN_SAMPLES ? RECENT_LATENCY_WEIGHT
+                : BASELINE_LATENCY_WEIGHT;
+            baselineLatency = baselineLatency == 0 ? latency
+                : baselineLatency + weight * (sample - baselineLatency);
+        }
+
+        /** True while its recent response time is far above its usual one. */
+        boolean isSlow() {
+            return baselineLatency > 0 && recentLatency > SLOW_LATENCY_FACTOR * baselineLatency;
+        }
+
         /** Makes room for the queues of further classes. */
         void growQueues(int queueCount) {
             queues = Arrays.copyOf(queues, queueCount);
@@ -466,6 +498,8 @@
 
     /** The most recent response times, in a ring buffer. */
     static final class LatencySamples {
+        /** Samples that must be known before a percentile is used. */
+        static final int MIN_SAMPLES = 8;
         private static final int INITIAL_CAPACITY = 4;
         private final int capacity;
         /** Grows up to the capacity. */
@@ -488,6 +522,11 @@
             sorted = null;
         }
 
+        /** True when there are enough samples for a percentile. */
+        boolean isSufficient() {
+            return count >= MIN_SAMPLES;
+        }
+
         /** The response time that the given share, 0 to 1, of the samples is below. Needs a sample. */
         long percentile(double share) {
             if (sorted == null) {
--- a/src/test/java/wrenkeel/ColdReturnTest.java
+++ b/src/test/java/wrenkeel/ColdReturnTest.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
@@ -19,7 +20,9 @@
 import wrenkeel.FleetSimulation.Result;
 import wrenkeel.FleetSimulation.Scenario;
 import wrenkeel.Relay.Weights;
+import wrenkeel.soak.OutageShape;
 import wrenkeel.soak.OutageShape.Failure;
+import wrenkeel.soak.OutageShape.QuietSpell;
 
 /**
  * A destination that returns cold from an outage fails again if all relays of a fleet together send it more
@@ -237,4 +240,52 @@
     void fleetsOfEverySizeKeepTheBudgetAfterRefusals() {
         assertInformedRelaysKeepTheBudget(fleetSizeScenarios(REFUSING_OUTAGES));
     }
+
+    /** Shapes that are drawn for all kinds of outages together. */
+    private static final int DRAWN_SHAPES = 1_000;
+
+    @Test
+    void relaysKeepTheBudgetAfterOutagesOfAnyShape() {
+        assertColdDestinationsDoNotFallByInformedRelays(LongStream.rangeClosed(1, DRAWN_SHAPES)
+            .mapToObj(OutageShape::draw).map(Scenario::new).toList());
+    }
+
+    /** Outages that end for most relays before they learn of them: fleet, messages and capacity a second. */
+    private static List<Scenario> cutScenarios(Failure failure) {
+        List<Scenario> scenarios = new ArrayList<>();
+        double[][] fleets = {{24, 4, 5}, {48, 8, 10}, {48, 4, 5}, {120, 8, 10}, {120, 24, 30}, {2_300, 46, 58}};
+        for (double[] fleet : fleets) {
+            for (long seed = 1; seed <= SEED_COUNT; seed++) {
+                OutageShape steady =
+                    OutageShape.steady(seed, (int) fleet[0], fleet[1], fleet[2], failure, 6_000);
+                scenarios.add(new Scenario(steady));
+                scenarios.add(new Scenario(steady.with(new QuietSpell(-6_000, 2_500), NO_KILL)));
+                scenarios.add(new Scenario(steady.with(new QuietSpell(-6_000, 3_000),
+                    new OutageShape.Restart(0.7, -800))));
+            }
+        }
+        return scenarios;
+    }
+
+    private static final OutageShape.Restart NO_KILL = OutageShape.Restart.NONE;
+
+    @Test
+    void quietRelaysWhoseCallsAreCutAtTheReturnKeepTheBudget() {
+        assertColdDestinationsDoNotFallByInformedRelays(cutScenarios(Failure.NO_RESPONSE_THEN_RESET));
+    }
+
+    @Test
+    void quietRelaysRefusedJustBeforeTheReturnKeepTheBudget() {
+        assertColdDestinationsDoNotFallByInformedRelays(cutScenarios(Failure.REJECTED));
+    }
+
+    /** The rule itself: no first overload of which over two thirds came from informed relays. */
+    private static void assertColdDestinationsDoNotFallByInformedRelays(List<Scenario> scenarios) {
+        List<String> falls = scenarios.parallelStream().map(scenario -> {
+            SimulatedDestination.ColdLoad load = FleetSimulation.run(scenario).coldLoad();
+            return load.isOverloadedByInformedRelays() ? scenario + " " + load : "";
+        }).filter(run -> !run.isEmpty()).toList();
+        assertTrue(falls.isEmpty(), falls.size() + " of " + scenarios.size() + " broken, the first: "
+            + falls.stream().findFirst().orElse(""));
+    }
 }
