Let the soak play drawn outages and endpoints that send a second copy of an answer

One in six endpoints of a soak run sends a second copy of each 200 some milliseconds later, and holds calls that are written in between.

--- a/src/main/java/wrenkeel/scale/EndpointModel.java
+++ b/src/main/java/wrenkeel/scale/EndpointModel.java
@@ -85,7 +85,7 @@
     public record Response(int status, long delayNanos, long retryAfterMillis) { }
 
     private static final long NANOS_PER_MS = 1_000_000;
-    private static final Response NO_RESPONSE = new Response(0, 0, 0);
+    static final Response NO_RESPONSE = new Response(0, 0, 0);
 
     private final SplittableRandom random;
     private Behaviour behaviour;
--- a/src/main/java/wrenkeel/scale/StandInDestinations.java
+++ b/src/main/java/wrenkeel/scale/StandInDestinations.java
@@ -62,6 +62,8 @@
         final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         Channel listener;
         int port;
+        /** Time from a response to a second copy of it; 0 for no copy. */
+        volatile long copyDelayMillis;
 
         Endpoint(int number, EndpointModel model) {
             this.number = number;
@@ -158,6 +160,16 @@
         }
     }
 
+    /**
+     * Lets an endpoint send a second copy of each response of status 200. A call that arrives on a connection
+     * between the two gets no response, so that a relay which takes the copy for it loses its message.
+     *
+     * @param delayMillis time from a response to its copy; 0 for no copies
+     */
+    public void copyResponses(int number, long delayMillis) {
+        endpoints.get(number).copyDelayMillis = delayMillis;
+    }
+
     /** Closes all connections to an endpoint; calls without an answer are cut off. */
     public void closeConnections(int number) throws InterruptedException {
         endpoints.get(number).connections.close().sync();
@@ -224,6 +236,8 @@
     /** Handles the calls on one connection. */
     private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Endpoint endpoint;
+        /** A second copy of the latest response is on its way. */
+        private boolean copyPending;
 
         CallHandler(Endpoint endpoint) {
             this.endpoint = endpoint;
@@ -251,7 +265,7 @@
             calls.increment();
             EndpointModel.Response modelResponse;
             synchronized (endpoint.model) {
-                modelResponse = endpoint.model.handleCall(now);
+                modelResponse = copyPending ? EndpointModel.NO_RESPONSE : endpoint.model.handleCall(now);
             }
             CallObserver currentObserver = observer;
             ids.forEach(id -> currentObserver.callReceived(endpoint.number, MessageId.parse(id),
@@ -281,6 +295,11 @@
                 abandonedCalls.increment();
             } else if (isServing) {
                 respond(context, HttpResponseStatus.OK, 0, body, keepAlive);
+                if (endpoint.copyDelayMillis > 0 && keepAlive) {
+                    copyPending = true;
+                    context.executor().schedule(() -> sendCopy(context, body), endpoint.copyDelayMillis,
+                        TimeUnit.MILLISECONDS);
+                }
                 long now = clock.getAsLong();
                 CallObserver currentObserver = observer;
                 ids.forEach(id -> currentObserver.messageDelivered(endpoint.number,
@@ -288,6 +307,13 @@
             }
         }
 
+        private void sendCopy(ChannelHandlerContext context, byte[] body) {
+            copyPending = false;
+            if (context.channel().isActive()) {
+                respond(context, HttpResponseStatus.OK, 0, body, true);
+            }
+        }
+
         /** Answers a malformed call and closes the connection. */
         private void reject(ChannelHandlerContext context, HttpResponseStatus status) {
             malformedCalls.increment();
--- a/src/main/java/wrenkeel/soak/OutageRun.java
+++ b/src/main/java/wrenkeel/soak/OutageRun.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -295,13 +296,12 @@
         TimeUnit.MILLISECONDS.sleep(Math.max(0, millis - nowMillis()));
     }
 
-    /** The logs of all relays, one text a relay with its processes in the order of their starts. */
-    List<String> logs() throws IOException {
-        List<String> all = new ArrayList<>();
-        for (RelayWithClients relay : relays) {
-            all.add(relay.process.allLogs());
+    /** Writes the logs of all relays into a folder, which is created if necessary. */
+    void saveLogs(Path target) throws IOException {
+        Files.createDirectories(target);
+        for (int i = 0; i < relays.size(); i++) {
+            Files.writeString(target.resolve("relay-" + i + ".log"), relays.get(i).process.allLogs());
         }
-        return all;
     }
 
     private final class CallRecorder implements CallObserver {
--- a/src/main/java/wrenkeel/soak/OutageShape.java
+++ b/src/main/java/wrenkeel/soak/OutageShape.java
@@ -83,6 +83,8 @@
     }
 
     private static final int[] FLEET_SIZES = {24, 48, 120, 2_300};
+    private static final int[] PLAYABLE_FLEET_SIZES = {24, 48};
+    private static final long MAX_PLAYABLE_START_MS = 12_000;
     /** Messages a second of one relay, in the mean over the fleet. */
     private static final double MIN_RELAY_RATE = 0.02;
     private static final double MAX_RELAY_RATE = 2;
@@ -130,8 +132,22 @@
         return draw(seed, FLEET_SIZES);
     }
 
+    /**
+     * Draws a shape that can be played by real processes: up to 48 relays, one endpoint, no listed limits,
+     * a failure that the stand-ins can play, and little time before the outage.
+     */
+    static OutageShape drawPlayable(long seed) {
+        SplittableRandom seeds = new SplittableRandom(seed);
+        OutageShape shape;
+        do {
+            shape = draw(seeds.nextLong(), PLAYABLE_FLEET_SIZES);
+        } while (!OutageRun.canPlay(shape.failure) || shape.startMillis > MAX_PLAYABLE_START_MS
+            || shape.endpoints > 1 || shape.weights != Weights.NONE);
+        return shape;
+    }
+
     /** Draws a shape with one of these numbers of relays. */
-    static OutageShape draw(long seed, int... fleetSizes) {
+    private static OutageShape draw(long seed, int... fleetSizes) {
         SplittableRandom random = new SplittableRandom(seed);
         int relays;
         double capacity;
--- a/src/main/java/wrenkeel/soak/SoakCommand.java
+++ b/src/main/java/wrenkeel/soak/SoakCommand.java
@@ -28,6 +28,11 @@
         description = "Number of seeds, counting up from the first (default: ${DEFAULT-VALUE}).")
     private int seedCount;
 
+    @Option(names = "--outages", defaultValue = "0", paramLabel = "K",
+        description = "Number of outages of one destination, each with 24 or 48 relays, counting up from the"
+            + " first seed (default: ${DEFAULT-VALUE}).")
+    private int outageCount;
+
     @Option(names = "--relays", defaultValue = "10..16", paramLabel = "A..B",
         description = "Range of the number of relays; the seed draws one (default: ${DEFAULT-VALUE}).")
     private String relayRange;
@@ -68,16 +73,21 @@
 
     private int runSeeds() throws InterruptedException, ExecutionException {
         int failedSeeds = 0;
+        int failedOutages = 0;
         try {
             for (long seed = firstSeed; seed < firstSeed + seedCount; seed++) {
                 failedSeeds += runSeed(seed).isEmpty() ? 0 : 1;
             }
+            for (long seed = firstSeed; seed < firstSeed + outageCount; seed++) {
+                failedOutages += runOutage(seed) ? 0 : 1;
+            }
         } catch (IOException e) {
             System.err.println("soak: " + e.getMessage());
             return EXIT_FAILURE;
         }
         System.out.println(seedCount + " seeds, " + failedSeeds + " broke a rule");
-        return failedSeeds == 0 ? 0 : EXIT_FAILURE;
+        System.out.println(outageCount + " outages, " + failedOutages + " broke the rule on cold endpoints");
+        return failedSeeds + failedOutages == 0 ? 0 : EXIT_FAILURE;
     }
 
     /** Runs one seed, prints what it did and found, and returns the findings. */
@@ -96,6 +106,20 @@
         }
     }
 
+    /** Plays an outage and prints its shape and result; returns whether the rule was kept. */
+    private boolean runOutage(long seed) throws IOException, InterruptedException, ExecutionException {
+        OutageShape shape = OutageShape.drawPlayable(seed);
+        System.out.println("outage " + seed + ": " + shape);
+        try (OutageRun run = new OutageRun(root.toAbsolutePath().normalize(), shape)) {
+            OutageRun.Result result = run.run();
+            System.out.println((result.isBroken() ? "  BROKEN " : "  ") + result);
+            if (result.isBroken() && logFolder != null) {
+                run.saveLogs(logFolder.resolve("outage-" + seed));
+            }
+            return !result.isBroken();
+        }
+    }
+
     /** Draws the number of relays; both bounds of the range are included. */
     private int relayCount(long seed) {
         String[] bounds = relayRange.split("\\.\\.");
--- a/src/main/java/wrenkeel/soak/SoakRun.java
+++ b/src/main/java/wrenkeel/soak/SoakRun.java
@@ -57,6 +57,10 @@
     private static final long STEP_MS = 100;
     /** An endpoint's capacity as a multiple of the mean traffic to it. */
     private static final double CAPACITY_TO_TRAFFIC_RATIO = 1.5;
+    /** One in so many endpoints sends a second copy of each response. */
+    private static final int COPYING_ENDPOINT_STEP = 6;
+    /** Longest time from a response to its copy. */
+    private static final int MAX_COPY_DELAY_MS = 10;
     private static final int HOUR_SECONDS = 3_600;
     private static final List<RelaySettings.Profile> PROFILES = List.of(
         new RelaySettings.Profile("notice", 1_000, 4_000, "dedup", 3_000),
@@ -120,6 +124,10 @@
         for (int endpoint = 0; endpoint < ENDPOINTS; endpoint++) {
             limitCapacity(endpoint, relayCount);
         }
+        for (int endpoint = Math.floorMod(seed, COPYING_ENDPOINT_STEP); endpoint < ENDPOINTS;
+                endpoint += COPYING_ENDPOINT_STEP) {
+            destinations.copyResponses(endpoint, 1 + endpoint % MAX_COPY_DELAY_MS);
+        }
         RelaySettings settings = RelaySettings.typical("n").withRelays(relayCount).withProfiles(PROFILES);
         for (int i = 0; i < relayCount; i++) {
             relays.add(new RelayHandle(i, root, tempFolder, library, settings.withName("n" + i), trace,
--- a/src/test/java/wrenkeel/soak/OutageShapeTest.java
+++ b/src/test/java/wrenkeel/soak/OutageShapeTest.java
@@ -33,4 +33,11 @@
             assertTrue(rate >= 0.02 && rate <= 2, shape.toString());
         });
     }
+
+    @Test
+    void playableShapesFitRealProcesses() {
+        LongStream.range(0, 50).mapToObj(OutageShape::drawPlayable).forEach(shape ->
+            assertTrue(shape.relays() <= 48 && shape.endpoints() == 1 && OutageRun.canPlay(shape.failure()),
+                shape.toString()));
+    }
 }
