Take single calls for a likely outage only in fleets of more than eight relays

Cause: a call that failed after 0.4 s, or once after a silence, put a small fleet's destinations into a slow start, where each relay sees enough calls to tell an outage by itself. With up to eight relays a likely outage is a time-out again.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -197,6 +197,11 @@
     private static final long FIRST_PROBE_SPREAD_MICROS = 15 * SECOND;
     /** The same after a refusal, which is mostly due to a limit. */
     private static final long FIRST_PROBE_AFTER_REFUSAL_SPREAD_MICROS = 10 * SECOND;
+    /**
+     * In a fleet of up to this many relays, each sees enough of the traffic to tell an outage from an
+     * isolated failure in time: what all of them send until then fits into a cold destination's slack.
+     */
+    private static final int FEW_RELAYS = 8;
     /** A call that fails after this long may have been cut off by the end of an outage. */
     private static final long HUNG_CALL_MICROS = 400 * MS;
     /** A suspicion that is cleared within this leaves no slow start. */
@@ -1119,7 +1124,7 @@
         if (retryAfter > OUTAGE_RETRY_AFTER_MICROS || destination.consecutiveRefusals >= OUTAGE_REFUSALS
             || attempt.endpoint.health == Health.OUT) {
             eject(attempt.endpoint, true, HealthReason.REFUSALS);
-        } else if (attempt.endpoint.health == Health.GOOD && settings.relayCount() > SMALL_FLEET_RELAYS
+        } else if (attempt.endpoint.health == Health.GOOD && settings.relayCount() > FEW_RELAYS
             && attempt.sentAt - attempt.endpoint.limitScope.lastSuccessSentAt > LONG_SILENCE_MICROS) {
             attempt.endpoint.outageLikely = true;
             eject(attempt.endpoint, false, HealthReason.REFUSED_AFTER_SILENCE);
@@ -1159,7 +1164,8 @@
         // An endpoint with little traffic shows a single failure in an outage. The outage therefore counts as
         // confirmed unless the probe came soon after the failure and the endpoint had answered just before.
         endpoint.outageConfirmed |= endpoint.health == Health.OUT
-            && (endpoint.outageLikely || attempt.sentAt - endpoint.outSince > SUSPICION_MICROS);
+            && (endpoint.outageLikely || attempt.sentAt - endpoint.outSince > SUSPICION_MICROS
+                || attempt.sentAt - endpoint.lastSuccessSentAt > LONG_SILENCE_MICROS);
         endpoint.lastSuccessAt = now;
         endpoint.lastSuccessSentAt = Math.max(endpoint.lastSuccessSentAt, attempt.sentAt);
         scope.lastSuccessSentAt = Math.max(scope.lastSuccessSentAt, attempt.sentAt);
@@ -1193,8 +1199,10 @@
         // A busy endpoint that fails part of its calls answers the others: recent answers mean no outage.
         boolean silent = now - endpoint.lastSuccessAt >= RECENT_SUCCESS_MICROS;
         boolean probe = endpoint.health == Health.OUT && attempt.sentAt >= endpoint.outSince;
-        endpoint.outageLikely = now - attempt.sentAt >= HUNG_CALL_MICROS
-            || attempt.sentAt - endpoint.lastSuccessSentAt > LONG_SILENCE_MICROS;
+        boolean longSilent = attempt.sentAt - endpoint.lastSuccessSentAt > LONG_SILENCE_MICROS;
+        endpoint.outageLikely = attempt.call.lastOutcome == Outcome.TIMEOUT
+            || settings.relayCount() > FEW_RELAYS
+                && (longSilent || now - attempt.sentAt >= HUNG_CALL_MICROS);
         if (prevails || probe || silent && endpoint.consecutiveFailures >= OUTAGE_FAILURES) {
             eject(endpoint, true, probe ? HealthReason.TRIAL_FAILED : HealthReason.FAILURES);
         } else if (endpoint.health == Health.RETURNING && attempt.sentAt >= endpoint.returnedAt) {
