--- a/src/main/java/wrenkeel/net/AgentConnection.java
+++ b/src/main/java/wrenkeel/net/AgentConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -26,7 +25,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -95,8 +93,7 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel fresh) {
-                    fresh.pipeline().addLast(new SurplusHandler(), new HttpClientCodec(),
-                        new ResponseHandler());
+                    fresh.pipeline().addLast(new HttpClientCodec(), new ResponseHandler());
                 }
             });
     }
@@ -111,10 +108,6 @@
      */
     void send(HttpMethod method, String uri, String body, long timeoutMs,
               Supplier<HostList.PendingUpdate> updates, Consumer<Response> onResponse) {
-        // Surplus bytes that have arrived close the connection.
-        if (channel != null) {
-            UnreadBytes.read(channel);
-        }
         this.onResponse = onResponse;
         response = new Response();
         this.updates = updates;
@@ -240,33 +233,11 @@
         callback.accept(response);
     }
 
-    /**
-     * Closes a connection on which bytes arrive that belong to no request, such as a second copy of a
-     * response: the next request would take them for its response.
-     */
-    private final class SurplusHandler extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object bytes) {
-            if (onResponse != null && context.channel() == channel) {
-                context.fireChannelRead(bytes);
-                return;
-            }
-            ReferenceCountUtil.release(bytes);
-            if (context.channel() == channel) {
-                closeChannel();
-            }
-        }
-    }
-
     /** Handles the responses on a connection. */
     private final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-            if (context.channel() != channel) {
-                return;
-            }
-            if (onResponse == null) {
-                closeChannel();
+            if (context.channel() != channel || onResponse == null) {
                 return;
             }
             if (part.decoderResult().isFailure()) {
--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -45,11 +45,6 @@
     private Future<?> nextCall;
     /** A fault has been logged since the last success. */
     private boolean faultLogged;
-    /** The version that the current call for the list asks for the changes after; -1 for the whole list. */
-    private long requestedAfter;
-    /** How long the agent may wait for a change before it responds to the current call. */
-    private long requestedWaitMs;
-    private long requestedNanos;
     /** The latest call for the list returned one: only then may the next call wait for a change. */
     private boolean lastCallReturnedList;
     /** Number of lists rejected since the start. */
@@ -82,10 +77,8 @@
      * bound by what the agent has.
      */
     void watch() {
-        requestedWaitMs = lastCallReturnedList ? WATCH_WAIT_MS : SHORTEST_WAIT_MS;
-        requestedAfter = hostList.version();
-        requestedNanos = System.nanoTime();
-        String query = requestedAfter < 0 ? "" : "?after=" + requestedAfter + "&wait_ms=" + requestedWaitMs;
+        long waitMs = lastCallReturnedList ? WATCH_WAIT_MS : SHORTEST_WAIT_MS;
+        String query = hostList.version() < 0 ? "" : "?after=" + hostList.version() + "&wait_ms=" + waitMs;
         long timeoutMs = lastCallReturnedList ? WATCH_WAIT_MS + WATCH_SLACK_MS : responseTimeoutMs;
         listConnection.send(HttpMethod.GET, "/v1/servers" + query, "", timeoutMs, hostList::beginUpdate,
             this::handleResponse);
@@ -100,9 +93,6 @@
                 faultLogged = false;
                 lastCallReturnedList = true;
                 consecutiveFaults = 0;
-                if (isCopyOfEarlierResponse()) {
-                    listConnection.close();
-                }
                 watch();
                 return;
             }
@@ -122,15 +112,6 @@
         nextCall = loop.schedule(this::watch, gapMs, TimeUnit.MILLISECONDS);
     }
 
-    /**
-     * True if the response to a call that waits for a change has brought none long before the wait was over.
-     * Then it belongs to an earlier call, and the response to this one would be taken for that to the next.
-     */
-    private boolean isCopyOfEarlierResponse() {
-        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - requestedNanos);
-        return hostList.version() == requestedAfter && elapsedMs < requestedWaitMs / 2;
-    }
-
     /**
      * Time until the list is requested again after one that was rejected: exponential backoff with jitter.
      *
