--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,8 @@
 #!/bin/sh
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
-exec timeout -k 5 110 java -Xmx256m -Droot=../.. -cp ../out Case3 record.txt
+[ -f ../out/Case3.class ] || { echo "not built: run review/build.sh" >&2; exit 2; }
+timeout -k 5 110 java -Xmx256m -Droot=../.. -cp ../out Case3 record.txt
+status=$?
+[ $status -le 2 ] && exit $status
+exit 2
--- a/review/src/Case1.java
+++ b/review/src/Case1.java
@@ -18,7 +18,7 @@
         int result = 2;
         try (Rig rig = new Rig(args[0])) {
             result = run(rig);
-        } catch (Exception e) {
+        } catch (Throwable e) {
             e.printStackTrace();
         }
         System.exit(result);
