--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -65,9 +65,15 @@
         return thread;
     }
 
+    /** A port for a process that is started later: below the range from which the system takes ports itself. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
-            return socket.getLocalPort();
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, LOOPBACK)) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // In use: another one.
+            }
         }
     }
 
@@ -100,13 +106,14 @@
             Files.createDirectories(home.resolve("state"));
         }
 
-        /** Writes the configuration file in one step. */
+        /** Writes the configuration file in one step, with a new seed. */
         void configure(Agent agent, String limits, String known, String settings) throws IOException {
             Path draft = home.resolve("config.new");
             Files.writeString(draft, """
                 {"name":"%s","listen":"127.0.0.1:%d","console":"127.0.0.1:%d","discovery":"127.0.0.1:%d",
-                 "seed":"8c1f30d27a5be964","limits":%s,"known":%s,"settings":%s}
-                """.formatted(name, port, consolePort, agent.port(), limits, known, settings));
+                 "seed":"%016x","limits":%s,"known":%s,"settings":%s}
+                """.formatted(name, port, consolePort, agent.port(), ThreadLocalRandom.current().nextLong(), limits,
+                    known, settings));
             Files.move(draft, home.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING,
                 StandardCopyOption.ATOMIC_MOVE);
         }
