Keep incomplete requests on the heap and within a limit, not in direct memory

Cause: the buffers that sockets are read into were direct ones (AbstractByteBufAllocator.ioBuffer ignores the allocator's preference for the heap), and each part of a body kept the whole buffer it was read into until its request was complete. Nothing limited the bytes of all connections together. Once they reached the 16 MB of the run line, each read of a socket made the Java runtime collect garbage and sleep for half a second before it failed, on the only event loop; the timers that would have closed the connections waited behind those reads.

Evidence: "Cannot reserve 32768 bytes of direct buffer memory (allocated:, limit:)" every 0.53 s in the relay's log, with Bits.reserveMemory below NioByteUnsafe.read.

Fix: HeapBufferAllocator allocates what sockets are read into on the heap, 16 KB a read at most, and counts it; the runtime then reads through one direct buffer for each thread. ReceiveBufferLimit bounds the incomplete requests of all clients to a quarter of the heap: above it, the client that has waited longest for the rest of its request gets 503 with Retry-After, and what it has sent is released. Endpoints', the agent's and the operators' connections read into the same kind of buffer: there the same direct memory could be used up by parts of responses.

--- a/src/main/java/wrenkeel/net/ClientListener.java
+++ b/src/main/java/wrenkeel/net/ClientListener.java
@@ -1,7 +1,6 @@
 package wrenkeel.net;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -93,7 +92,6 @@
         NioServerSocketChannel listener = new NioServerSocketChannel(socket);
         new ServerBootstrap().group(eventLoop, eventLoop).channelFactory(() -> listener)
             .handler(new AcceptRetry(whenResumed))
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .childOption(ChannelOption.TCP_NODELAY, true).childHandler(clients).register();
         return new ClientListener(socket, eventLoop, listener, acceptor);
     }
--- a/src/main/java/wrenkeel/net/ConnectionLimiter.java
+++ b/src/main/java/wrenkeel/net/ConnectionLimiter.java
@@ -88,6 +88,16 @@
         LingeringClose.closeNow(channel);
     }
 
+    /**
+     * Removes, from those that may be evicted, the connection with an incomplete request that has sent no
+     * bytes for the longest; returns null if there is none.
+     */
+    Channel takeLongestPartialRequest() {
+        Channel longest = withPartialRequest.isEmpty() ? null : withPartialRequest.iterator().next();
+        withPartialRequest.remove(longest);
+        return longest;
+    }
+
     /** A connection has ended. */
     void disconnected(Channel channel) {
         all.remove(channel);
--- a/src/main/java/wrenkeel/net/Console.java
+++ b/src/main/java/wrenkeel/net/Console.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -73,7 +72,7 @@
         ServerBootstrap bootstrap = new ServerBootstrap().group(eventLoopGroup)
             .channelFactory(sockets).option(ChannelOption.SO_REUSEADDR, true)
             .handler(new AcceptRetry(waited -> { }))
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.ALLOCATOR, new HeapBufferAllocator())
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
--- a/src/main/java/wrenkeel/net/ListOnlyRelay.java
+++ b/src/main/java/wrenkeel/net/ListOnlyRelay.java
@@ -1,7 +1,6 @@
 package wrenkeel.net;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -52,7 +51,8 @@
         Metrics metrics = new Metrics();
         ProcessClock clock = ProcessClock.system();
         Bootstrap calls = new Bootstrap().group(eventLoop)
-            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false));
+            .option(ChannelOption.ALLOCATOR, new HeapBufferAllocator())
+            .option(ChannelOption.RECVBUF_ALLOCATOR, HeapBufferAllocator.readSizes());
         HostList hosts = new HostList(config.zones(), config.kinds());
         HostPool pool = new HostPool(eventLoop, calls, config.settings().limits().connectTimeout(),
             config.settings().limits().keepAlive(), config.descriptorBudget().hostConnections(), metrics);
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -59,10 +59,16 @@
      * acceptance at most 400 ms after sending it, and the notice of its end may arrive 300 ms late.
      */
     private static final long MAX_TRANSIT_MS = 300;
-    /** Retry-After for clients that send a message before the relay serves. */
-    private static final long NOT_SERVING_RETRY_AFTER_MICROS = 1_000_000;
+    /** Retry-After for a message that is refused before it is read in full or before the relay serves. */
+    private static final long RETRY_AFTER_MICROS = 1_000_000;
+    /** Share of the heap that incomplete requests may take. */
+    private static final int RECEIVE_BUFFER_HEAP_DIVISOR = 4;
+    /** Parts of a body that are kept apart; more are merged, since each takes memory beside its bytes. */
+    private static final int MAX_BODY_PARTS = 64;
 
     private final ConnectionLimiter connections;
+    private final HeapBufferAllocator buffers = new HeapBufferAllocator();
+    private final ReceiveBufferLimit receiveBufferLimit;
     /** Null until the relay serves. */
     private ControlDriver driver;
     /** Messages are refused until {@link #serve}. */
@@ -78,13 +84,26 @@
     }
 
     Server(ConnectionLimiter connections, long lingerMillis) {
+        this(connections, lingerMillis, Runtime.getRuntime().maxMemory() / RECEIVE_BUFFER_HEAP_DIVISOR);
+    }
+
+    /**
+     * Creates a server.
+     *
+     * @param lingerMillis time that a connection may stay open after its last response
+     * @param maxReceiveBytes bytes of incomplete requests, of all connections together, above which those
+     *     that have waited longest are refused
+     */
+    Server(ConnectionLimiter connections, long lingerMillis, long maxReceiveBytes) {
         this.connections = connections;
         this.lingerMillis = lingerMillis;
+        receiveBufferLimit = new ReceiveBufferLimit(connections, buffers, maxReceiveBytes);
     }
 
     @Override
     protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new SocketReader(connections),
+        channel.config().setAllocator(buffers).setRecvByteBufAllocator(HeapBufferAllocator.readSizes());
+        channel.pipeline().addLast(new SocketReader(connections), receiveBufferLimit,
             new LingeringClose(connections, lingerMillis), new RequestDecoder(), new HttpResponseEncoder(),
             new RequestSequencer(this::reportClosedUnanswered), new RequestAggregator(),
             new RequestDeadline(connections, REQUEST_TIMEOUT_MS), new RequestHandler());
@@ -129,6 +148,7 @@
     private final class RequestAggregator extends HttpObjectAggregator {
         RequestAggregator() {
             super(MAX_BODY_BYTES, true);
+            setMaxCumulationBufferComponents(MAX_BODY_PARTS);
         }
 
         @Override
@@ -160,7 +180,7 @@
                     throw new InvalidRequestException(HttpResponseStatus.METHOD_NOT_ALLOWED,
                         "messages must be sent by POST");
                 } else if (notServingYet) {
-                    respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE, NOT_SERVING_RETRY_AFTER_MICROS,
+                    respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_MICROS,
                         false);
                 } else {
                     Message message = parseMessage(request, path);
@@ -173,6 +193,27 @@
             }
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event == ReceiveBufferLimit.Exceeded.INSTANCE) {
+                refuseIncomplete(context);
+            } else {
+                context.fireUserEventTriggered(event);
+            }
+        }
+
+        /** Refuses a request that is not read in full, and releases what has been read of it. */
+        private void refuseIncomplete(ChannelHandlerContext context) {
+            logInvalidRequest(context, HttpResponseStatus.SERVICE_UNAVAILABLE,
+                "incomplete, and the memory for incomplete requests is used up");
+            respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_MICROS, false);
+            ChannelPipeline pipeline = context.pipeline();
+            if (pipeline.get(RequestDecoder.class) != null) {
+                pipeline.remove(RequestDecoder.class);
+                pipeline.remove(RequestAggregator.class);
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
--- /dev/null
+++ b/src/test/java/wrenkeel/net/ReceiveBuffersTest.java
@@ -0,0 +1,130 @@
+package wrenkeel.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The memory that clients can make the server use for what they send. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class ReceiveBuffersTest {
+    /** A third of the largest limit of file descriptors. */
+    private static final int CLIENTS = 341;
+    private static final int BODY_BYTES = 60_000;
+    private static final int WRITTEN_BYTES = 45_000;
+    /** The limit of direct memory in the run line. */
+    private static final long DIRECT_MEMORY_LIMIT = 16 << 20;
+
+    private final MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop eventLoop = group.next();
+
+    @AfterEach
+    void tearDown() throws InterruptedException {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    }
+
+    private static String partOfMessage(int writtenBytes) {
+        return "GET /healthz HTTP/1.1\r\nHost: a\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"
+            + "x".repeat(writtenBytes);
+    }
+
+    private static long directBytes() {
+        return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+            .filter(pool -> pool.getName().equals("direct")).mapToLong(BufferPoolMXBean::getMemoryUsed).sum();
+    }
+
+    /**
+     * Guards against a relay that hangs: once requests of which clients have written a part use up the direct
+     * memory, each read of a socket blocks the event loop for half a second.
+     */
+    @Test
+    void halfWrittenRequestsOfAllClientsDoNotUseUpTheDirectMemory() throws Exception {
+        ConnectionLimiter connections = new ConnectionLimiter(CLIENTS);
+        ClientListener listener = eventLoop.submit(() -> ClientListener.open(
+            new InetSocketAddress(Platform.LOOPBACK, 0), eventLoop, new Server(connections), nanos -> { },
+            ListeningSockets.SYSTEM)).get();
+        List<Socket> clients = new ArrayList<>();
+        long before = directBytes();
+        byte[] part = partOfMessage(WRITTEN_BYTES).getBytes(StandardCharsets.US_ASCII);
+        for (int i = 0; i < CLIENTS; i++) {
+            Socket client = new Socket(Platform.LOOPBACK, listener.address().getPort());
+            clients.add(client);
+            client.getOutputStream().write(part);
+        }
+        while (eventLoop.submit(connections::size).get() < CLIENTS) {
+            Thread.onSpinWait();
+        }
+        // An iteration of the event loop reads all sockets that have input.
+        eventLoop.submit(() -> { }).get();
+        long used = directBytes() - before;
+        for (Socket client : clients) {
+            client.close();
+        }
+        eventLoop.submit(listener::close).get();
+        assertTrue(used < DIRECT_MEMORY_LIMIT / 2, used + " bytes of direct memory");
+    }
+
+    /**
+     * Guards against a heap that incomplete requests fill: above the limit the client that has waited longest
+     * gets an error, and the others can go on.
+     */
+    @Test
+    void incompleteRequestsAboveTheLimitAreRefusedTheLongestWaitingFirst() throws Exception {
+        Server server = new Server(new ConnectionLimiter(10), 300, 2 * WRITTEN_BYTES + BODY_BYTES / 2);
+        List<SocketPair> pairs = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            SocketPair pair = new SocketPair(server);
+            pairs.add(pair);
+            pair.send(partOfMessage(WRITTEN_BYTES));
+            pair.register(eventLoop);
+            eventLoop.submit(() -> SocketReader.readNow(pair.channel)).get();
+        }
+        assertEquals("503", pairs.get(0).readStatus());
+        assertTrue(pairs.get(0).readsEndOfStream());
+        for (SocketPair pair : pairs.subList(1, 3)) {
+            pair.client.getOutputStream().write(new byte[BODY_BYTES - WRITTEN_BYTES]);
+            assertEquals("200", pair.readStatus());
+        }
+        for (SocketPair pair : pairs) {
+            pair.close();
+        }
+    }
+
+    /** Guards against a heap that tiny header fields fill: each takes far more memory than its bytes. */
+    @Test
+    void aRequestWithTooManyHeaderFieldsIsRejected() {
+        EmbeddedChannel channel = newChannel();
+        channel.writeInbound(bytes("GET /healthz HTTP/1.1\r\n" + "a:\r\n".repeat(1_000)));
+        ByteBuf response = channel.readOutbound();
+        assertTrue(response.toString(StandardCharsets.US_ASCII).startsWith("HTTP/1.1 400"));
+        response.release();
+        channel.finishAndReleaseAll();
+    }
+
+    private static EmbeddedChannel newChannel() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        channel.pipeline().addLast(new Server(new ConnectionLimiter(10)));
+        channel.pipeline().fireChannelActive();
+        return channel;
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    }
+}
