Decode a client's next request only when its last response has been sent

Cause: all requests that were read were decoded at once and held as objects, some hundred bytes for each 18; the next one was passed on whether or not the response before it had reached the socket, so responses piled up in the channel; and each was passed on by a task that the one before it had added, so that no timer ran before the last.

Fix: RequestDecoder decodes one request at a time; what follows stays as bytes, at most what one read takes, and reading pauses. It goes on when the response has been handed to the socket, by a timer that is due at once, which lets other timers and sockets come first. RequestSequencer no longer holds anything.

--- a/src/main/java/wrenkeel/net/RequestDecoder.java
+++ b/src/main/java/wrenkeel/net/RequestDecoder.java
@@ -1,6 +1,7 @@
 package wrenkeel.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
@@ -8,13 +9,23 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
-/** Decodes requests, and tracks whether the bytes read so far end within a request or between two. */
+/**
+ * Decodes the requests of one connection one at a time: what follows a request stays undecoded, and reading
+ * pauses, until {@link #responseSent}. A decoded request takes many times the memory of its bytes, so a
+ * client that sends requests without reading responses must not have them decoded. Tracks whether the bytes
+ * read so far end within a request or between two.
+ */
 final class RequestDecoder extends HttpRequestDecoder {
     /** Most header fields of a request: a field takes far more memory than its few bytes. */
     static final int MAX_HEADER_FIELDS = 100;
 
     private boolean withinRequest;
+    /** A whole request was decoded, and its response is not sent yet. */
+    private boolean awaitingResponse;
+    /** All further input is discarded. */
+    private boolean stopped;
     private int headerFields;
 
     /** True if part of a request has been read, but not the whole. */
@@ -22,14 +33,59 @@
         return withinRequest;
     }
 
+    /**
+     * The response to the latest request has been handed to the socket. If more input was read meanwhile, it
+     * is decoded in a later iteration of the event loop, so that timers and other connections come in
+     * between.
+     *
+     * @param context this handler's context
+     */
+    void responseSent(ChannelHandlerContext context) {
+        if (actualReadableBytes() == 0) {
+            awaitingResponse = false;
+        } else {
+            context.executor().schedule(() -> decodeHeld(context), 0, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** Discards all further input, and what is held: the connection is about to be closed. */
+    void stop() {
+        stopped = true;
+    }
+
+    private void decodeHeld(ChannelHandlerContext context) {
+        if (context.isRemoved() || stopped) {
+            return;
+        }
+        awaitingResponse = false;
+        try {
+            channelRead(context, Unpooled.EMPTY_BUFFER);
+            channelReadComplete(context);
+        } catch (Exception e) {
+            context.fireExceptionCaught(e);
+        }
+        if (!awaitingResponse && !stopped) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded)
         throws Exception {
+        if (stopped) {
+            bytes.skipBytes(bytes.readableBytes());
+            return;
+        }
+        if (awaitingResponse) {
+            withinRequest = bytes.isReadable();
+            context.channel().config().setAutoRead(false);
+            return;
+        }
         super.decode(context, bytes, decoded);
         int last = decoded.size() - 1;
-        boolean ended = last >= 0 && decoded.get(last) instanceof LastHttpContent;
-        withinRequest = !ended || bytes.isReadable();
-        if (last >= 0 && !ended && decoded.get(last) instanceof HttpContent part) {
+        awaitingResponse = last >= 0 && decoded.get(last) instanceof LastHttpContent;
+        withinRequest = !awaitingResponse || bytes.isReadable();
+        if (last >= 0 && !awaitingResponse && decoded.get(last) instanceof HttpContent part) {
             decoded.set(last, copyOf(context, part));
         }
     }
@@ -44,6 +100,17 @@
         return copied;
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        if (awaitingResponse) {
+            // The superclass would continue reading, as it has passed nothing on.
+            discardSomeReadBytes();
+            context.fireChannelReadComplete();
+        } else {
+            super.channelReadComplete(context);
+        }
+    }
+
     @Override
     protected HttpMessage createMessage(String[] firstLine) throws Exception {
         headerFields = 0;
--- a/src/main/java/wrenkeel/net/RequestSequencer.java
+++ b/src/main/java/wrenkeel/net/RequestSequencer.java
@@ -10,18 +10,14 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 /**
- * Passes on the requests of one connection one at a time, so that responses are written in the order of their
- * requests. Further requests are held back, and reading pauses, until the response to the previous one is
- * written. After a response that closes the connection nothing is passed on, and no second response to the
- * same request is written.
+ * Pairs the responses on one connection with its requests, which the {@link RequestDecoder} decodes one at a
+ * time: the next one follows when the response to the previous one has been handed to the socket. After a
+ * response that closes the connection nothing is passed on, and no second response to the same request is
+ * written.
  */
 final class RequestSequencer extends ChannelDuplexHandler {
-    /** Requests, or parts of them, that are held back. */
-    private final Deque<Object> heldBack = new ArrayDeque<>();
     /** A whole request was passed on and its response is not written yet. */
     private boolean responseOutstanding;
     /** Nothing more is passed on. */
@@ -38,43 +34,18 @@
         this.whenClosedUnanswered = whenClosedUnanswered;
     }
 
-    /** True if further requests of this connection, or parts of one, have been read and are held back. */
-    boolean holdsRequests() {
-        return !heldBack.isEmpty();
-    }
-
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (closing) {
             ReferenceCountUtil.release(message);
-        } else if (responseOutstanding || holdsRequests()) {
-            heldBack.add(message);
-            context.channel().config().setAutoRead(false);
-        } else {
-            passOn(context, message);
+            return;
         }
-    }
-
-    private void passOn(ChannelHandlerContext context, Object message) {
         if (message instanceof LastHttpContent) {
             responseOutstanding = true;
         }
         context.fireChannelRead(message);
     }
 
-    private void passOnHeld(ChannelHandlerContext context) {
-        if (!holdsRequests() || responseOutstanding) {
-            return;
-        }
-        while (holdsRequests() && !responseOutstanding) {
-            passOn(context, heldBack.poll());
-        }
-        context.fireChannelReadComplete();
-        if (!holdsRequests() && !closing) {
-            context.channel().config().setAutoRead(true);
-        }
-    }
-
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         if (!(message instanceof HttpResponse response) || isInterim(response)) {
@@ -87,12 +58,19 @@
             boolean early = !responseOutstanding;
             responseOutstanding = false;
             if (early || !HttpUtil.isKeepAlive(response)) {
-                stopPassingOn();
-            } else if (holdsRequests()) {
-                // Deferred: the relay may write further responses in the same turn.
-                context.executor().execute(() -> passOnHeld(context));
+                stopPassingOn(context);
+                context.write(message, promise);
+            } else {
+                context.write(message, promise.unvoid())
+                    .addListener(sent -> responseSent(context, sent.isSuccess()));
             }
-            context.write(message, promise);
+        }
+    }
+
+    private void responseSent(ChannelHandlerContext context, boolean successful) {
+        ChannelHandlerContext decoder = context.pipeline().context(RequestDecoder.class);
+        if (successful && !closing && decoder != null) {
+            ((RequestDecoder) decoder.handler()).responseSent(decoder);
         }
     }
 
@@ -105,7 +83,7 @@
         if (responseOutstanding && !connectionFailed && context.channel().isActive()) {
             whenClosedUnanswered.run();
         }
-        stopPassingOn();
+        stopPassingOn(context);
         context.close(promise);
     }
 
@@ -117,14 +95,15 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        stopPassingOn();
+        stopPassingOn(context);
         context.fireChannelInactive();
     }
 
-    private void stopPassingOn() {
+    private void stopPassingOn(ChannelHandlerContext context) {
         closing = true;
-        while (holdsRequests()) {
-            ReferenceCountUtil.release(heldBack.poll());
+        RequestDecoder decoder = context.pipeline().get(RequestDecoder.class);
+        if (decoder != null) {
+            decoder.stop();
         }
     }
 }
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -362,7 +362,8 @@
             response.headers().set(HttpHeaderNames.RETRY_AFTER,
                 String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
         }
-        boolean close = !keepAlive || closingAfterResponses && !hasUnansweredInput(context.pipeline());
+        boolean close = !keepAlive
+            || closingAfterResponses && !context.pipeline().get(RequestDecoder.class).isWithinRequest();
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -372,10 +373,4 @@
         }
         return written;
     }
-
-    /** True if a further request, or part of one, has been read from the connection and is unanswered. */
-    private static boolean hasUnansweredInput(ChannelPipeline pipeline) {
-        return pipeline.get(RequestSequencer.class).holdsRequests()
-            || pipeline.get(RequestDecoder.class).isWithinRequest();
-    }
 }
