Keep both processes' files within the folder's limit while one replaces the other

The old process gave the space of a message back as it passed it on, though its records stay in the file, which is not rewritten any more; so what clients submitted after SIGTERM was appended without a bound. The new process took over all of it without a look at the space, then found its file too large beside the other one, and rewrote it at each record, which takes the open messages once more.

Fix: JournalSpace accounts for the folder as a whole. A process that hands over releases no space and accepts up to its share, a process that takes over counts the other file with what it may still grow by. Beyond that a message is refused with 503. The file is rewritten only if the new one fits beside all others and the file has grown since the last time. A file that a killed process was still preparing is deleted before anything is copied. The journals of other processes are read 64 KB at a time, since the runtime takes direct memory for the whole of a read.

--- a/src/main/java/wrenkeel/net/ControlDriver.java
+++ b/src/main/java/wrenkeel/net/ControlDriver.java
@@ -29,8 +29,6 @@
     private static final long RETRY_AFTER_MICROS = 1_000_000;
     /** Delay before the module's timer is raised again after a failed turn. */
     private static final long FAILED_TURN_RETRY_MICROS = 100_000;
-    /** The handover snapshot may take 1/8 of the state folder's space; the rest belongs to the journal. */
-    private static final int SNAPSHOT_DISK_DIVISOR = 8;
     /** Interval between updates of the gauges and measurements of the event loop's lag. */
     private static final long GAUGE_INTERVAL_MS = 100;
     /** Interval between requests to the module to release unused destinations. */
@@ -116,7 +114,6 @@
     private final long startNanos = System.nanoTime();
     /** When this driver was created, Unix time in ms. */
     private final long startMillis;
-    private final long maxSnapshotBytes;
     private final JournalHealth journalHealth;
     private final SendGuard sendGuard = new SendGuard();
     /** When the current turn was decided, by the journal's clock. */
@@ -143,7 +140,6 @@
         this.clock = clock;
         this.startMillis = clock.millis();
         this.settings = config.settings();
-        this.maxSnapshotBytes = config.diskLimitBytes() / SNAPSHOT_DISK_DIVISOR;
         this.control = new Control(config.seed(), settings);
         this.hosts = hosts;
         this.pool = pool;
@@ -326,7 +322,7 @@
         enqueue(new Relay.HandoverStarted());
         runTurn();
         journal.publishSnapshot(HandoverSnapshot.write(control.endpointSnapshots(), hosts, this::unixMillis,
-            maxSnapshotBytes));
+            journal.maxSnapshotBytes()));
         pool.closeAllIdle();
     }
 
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -33,8 +33,8 @@
  * <p>A record consists of the content's length (4 bytes), the CRC-32 of the content (4 bytes) and the
  * content: the record's type (1 byte), the number of the message (8 bytes) and further fields that depend on
  * the type. Records whose checksum does not match are skipped on reading. When the file has grown, it is
- * rewritten with the current state alone. Old and new file together stay within the limit, because each
- * accepted message reserves the bytes that all its records may need.
+ * rewritten with the current state alone. All files together stay within the limit, because each accepted
+ * message reserves the bytes that all its records may need ({@link JournalSpace}).
  *
  * <p>Not thread-safe. A failed write throws {@link IOException}; the whole file is then rewritten before
  * anything is appended, from what this object holds in memory.
@@ -53,13 +53,6 @@
     private static final long MAX_MISMATCHED_BYTES = 64 << 20;
     /** The type and the number. */
     private static final int MIN_CONTENT_BYTES = 9;
-    /** Bytes of the limit that stay unused, because the file system rounds sizes up. */
-    private static final long LIMIT_MARGIN_BYTES = 32_768;
-    /**
-     * Share of the capacity that open messages may reserve; the rest is for the old file during a rewrite,
-     * and for growth between rewrites.
-     */
-    private static final double OPEN_MESSAGES_SHARE = 0.4;
     /** Zone of an attempt whose record is lost; no host has it. */
     private static final int UNKNOWN_ZONE = -1;
     /** Attempts for which a message reserves space if its class was not recorded. */
@@ -97,9 +90,6 @@
     /** The health of an endpoint has changed. */
     private static final byte ENDPOINT_HEALTH = 13;
 
-    /** Share of the capacity that the health of endpoints may take. */
-    private static final double HEALTH_SHARE = 0.125;
-
     /** One attempt to send a message. */
     static final class Attempt {
         /** Unix time when it was sent. */
@@ -183,8 +173,7 @@
     private final Path file;
     /** Where a rewrite is prepared before it replaces {@link #file}. */
     private final Path newFile;
-    /** Bytes that the journals of all processes may use. */
-    private final long capacityBytes;
+    private final JournalSpace space;
     /** The journals of earlier processes, the oldest first, until they hold no open message. */
     private final List<PredecessorJournal> predecessors = new ArrayList<>();
     /** The messages adopted from files that still exist. */
@@ -195,15 +184,9 @@
     private final Map<String, EndpointHealth> endpointHealth = new LinkedHashMap<>();
     /** Health from journals of earlier processes that {@link #takeInheritedHealth} has not returned yet. */
     private final Map<String, EndpointHealth> inheritedHealth = new LinkedHashMap<>();
-    /** Total size of the health records. */
-    private long healthBytes;
     private FileChannel channel;
     /** A write has failed, so the file must be rewritten before the next. */
     private boolean rewriteNeeded;
-    /** Size of the file. */
-    private long fileBytes;
-    /** Bytes reserved by the open messages. */
-    private long reservedBytes;
     /** The number given to a message last. */
     private long lastNumber;
     /**
@@ -229,7 +212,7 @@
         this.lease = ProcessLease.acquire(folder, files);
         this.file = lease.file("journal");
         this.newFile = lease.file("journal.new");
-        this.capacityBytes = limitBytes - LIMIT_MARGIN_BYTES;
+        this.space = new JournalSpace(limitBytes);
         for (ProcessLease.OtherProcess process : lease.predecessors()) {
             predecessors.add(new PredecessorJournal(process));
         }
@@ -321,6 +304,10 @@
             // In this order: a process that has ended writes nothing more, so the file is then read
             // completely.
             predecessor.processEnded = predecessor.process.hasEnded();
+            if (predecessor.processEnded) {
+                // Killed in the middle of a rewrite, it has left a file that takes up space.
+                predecessor.process.deleteDrafts();
+            }
             predecessor.readNewRecords();
         }
         predecessors.forEach(this::inheritHealth);
@@ -392,13 +379,13 @@
     /** Updates the health in memory; returns false if it needs no record or there is no space for one. */
     private boolean keepHealth(EndpointHealth health) {
         EndpointHealth before = endpointHealth.remove(health.host);
-        healthBytes -= before == null ? 0 : healthRecord(before).length;
+        space.healthChanged(before == null ? 0 : -healthRecord(before).length);
         int length = healthRecord(health).length;
-        if (health.health == Relay.Health.GOOD || healthBytes + length > capacityBytes * HEALTH_SHARE) {
+        if (health.health == Relay.Health.GOOD || !space.hasRoomForHealth(length)) {
             return false;
         }
         endpointHealth.put(health.host, health);
-        healthBytes += length;
+        space.healthChanged(length);
         return true;
     }
 
@@ -436,7 +423,7 @@
         write(entry, records::writeBytes);
         writeAtEnd(records.toByteArray());
         entry.reservedBytes = bytesToReserve(acceptedRecord(entry).length, source.messageClass);
-        reservedBytes += entry.reservedBytes;
+        space.reserve(entry.reservedBytes);
         entries.put(entry.number, entry);
         return entry;
     }
@@ -453,6 +440,12 @@
     void beginHandover() throws IOException {
         rewrite();
         handingOver = true;
+        space.beginHandover();
+    }
+
+    /** Returns how large the snapshot may be, after {@link #beginHandover}. */
+    long maxSnapshotBytes() {
+        return space.maxSnapshotBytes(predecessorBytes());
     }
 
     /** Writes the handover snapshot for the next process, which then begins to serve. */
@@ -473,10 +466,12 @@
 
     /** Records, for the next process, that a host asked to wait until the given Unix time. */
     void waits(String host, long untilMillis) throws IOException {
-        append(record(WAIT, 0, o -> {
+        byte[] record = record(WAIT, 0, o -> {
             o.writeLong(untilMillis);
             o.writeUTF(host);
-        }));
+        });
+        space.reserve(record.length);
+        append(record);
     }
 
     /** Returns the open messages in the order in which they were accepted. */
@@ -494,12 +489,12 @@
         Entry entry = new Entry(lastNumber + 1, message, messageClass);
         byte[] record = acceptedRecord(entry);
         entry.reservedBytes = bytesToReserve(record.length, messageClass);
-        if (reservedBytes + entry.reservedBytes > availableBytes() * OPEN_MESSAGES_SHARE) {
+        if (!hasRoomFor(entry)) {
             return null;
         }
         append(record);
         lastNumber++;
-        reservedBytes += entry.reservedBytes;
+        space.reserve(entry.reservedBytes);
         entries.put(entry.number, entry);
         return entry;
     }
@@ -574,20 +569,38 @@
         return acceptedBytes + (long) maxAttempts * ATTEMPT_BYTES + END_BYTES;
     }
 
-    /** Returns the bytes that this file may use beside those of earlier processes that still exist. */
-    private long availableBytes() {
-        return capacityBytes - predecessors.stream().mapToLong(predecessor -> predecessor.readBytes).sum();
+    /** Whether there is room for a new message; makes room by a rewrite if that helps. */
+    private boolean hasRoomFor(Entry entry) throws IOException {
+        long unadopted = predecessors.stream().mapToLong(PredecessorJournal::unadoptedBytes).sum();
+        if (!space.mayReserve(entry.reservedBytes, unadopted)) {
+            return false;
+        }
+        if (handingOver) {
+            return true;
+        }
+        long needed = 2 * entry.reservedBytes + unadopted;
+        if (!space.hasRoomFor(needed, predecessorBytes()) && space.isRewriteWorthwhile(predecessorBytes())) {
+            rewrite();
+        }
+        return space.hasRoomFor(needed, predecessorBytes());
+    }
+
+    /** Returns the bytes that the files of earlier processes take, and will take while those live. */
+    private long predecessorBytes() {
+        return predecessors.stream().mapToLong(predecessor ->
+            predecessor.readBytes + (predecessor.processEnded ? 0 : space.growthOfLivingProcess())).sum();
     }
 
     private void removeEntry(long number) {
         Entry removed = entries.remove(number);
-        reservedBytes -= removed == null ? 0 : removed.reservedBytes;
+        space.release(removed == null ? 0 : removed.reservedBytes);
     }
 
     // ---- The file -------------------------------------------------------------------------------
     /** Appends a record, after a rewrite if the file would grow into the space that is reserved. */
     private void append(byte[] record) throws IOException {
-        if (!handingOver && fileBytes + record.length + reservedBytes + healthBytes > availableBytes()) {
+        if (!handingOver && !space.hasRoomFor(record.length, predecessorBytes())
+            && space.isRewriteWorthwhile(predecessorBytes())) {
             rewrite();
         }
         writeAtEnd(record);
@@ -601,7 +614,7 @@
         rewriteNeeded = true;
         write(channel, records);
         rewriteNeeded = false;
-        fileBytes += records.length;
+        space.appended(records.length);
     }
 
     /**
@@ -667,7 +680,7 @@
                 write(entry, record -> write(next, record));
             }
             files.replace(newFile, file);
-            fileBytes = next.position();
+            space.rewritten(next.position());
         } catch (IOException e) {
             discard(next, e);
             throw e;
@@ -735,6 +748,11 @@
             return process.number();
         }
 
+        /** Returns what the messages that are not adopted yet will reserve in this process's journal. */
+        long unadoptedBytes() {
+            return entries.values().stream().mapToLong(entry -> entry.reservedBytes).sum();
+        }
+
         /**
          * Returns how the journal's times convert to this process's clock, from what has been read so far.
          * Once the writing process's clocks are known, which are the first record of a file, the result is
@@ -851,10 +869,10 @@
                     clockReading = new ProcessClock.Reading(in.readUTF(), in.readLong(), in.readLong());
                     noteTime(clockReading.millis());
                 }
-                case ACCEPTED_WITHOUT_CLASS -> entries.put(number, new Entry(number, readMessage(in), null));
+                case ACCEPTED_WITHOUT_CLASS -> putEntry(new Entry(number, readMessage(in), null));
                 case ACCEPTED -> {
                     Relay.MessageClass messageClass = messageClass(in);
-                    entries.put(number, new Entry(number, readMessage(in), messageClass));
+                    putEntry(new Entry(number, readMessage(in), messageClass));
                 }
                 case ADOPTED -> adopted.add(new Origin(in.readLong(), number));
                 case PREDECESSOR_EMPTIED -> emptied.add(number);
@@ -882,6 +900,11 @@
             }
         }
 
+        private void putEntry(Entry entry) throws IOException {
+            entry.reservedBytes = bytesToReserve(acceptedRecord(entry).length, entry.messageClass);
+            entries.put(entry.number, entry);
+        }
+
         /** Replays a record that changes an open message. */
         private static void replayForEntry(Entry entry, byte type, DataInputStream in) throws IOException {
             switch (type) {
--- a/src/main/java/wrenkeel/net/ProcessLease.java
+++ b/src/main/java/wrenkeel/net/ProcessLease.java
@@ -29,6 +29,8 @@
     private static final String JOURNAL_FILE = "journal";
     /** The handover snapshot; it exists from when its process hands over until the next one serves. */
     private static final String SNAPSHOT_FILE = "leaving";
+    /** Bytes of one read: the Java runtime takes as many bytes of direct memory for it. */
+    private static final int MAX_READ_BYTES = 65_536;
     /** The highest number that is recognized in a file's name: 18 digits. */
     private static final long MAX_NUMBER = 999_999_999_999_999_999L;
 
@@ -217,8 +219,12 @@
         byte[] readJournalFrom(long position) throws IOException {
             try (FileChannel in = files.open(file(JOURNAL_FILE), StandardOpenOption.READ)) {
                 ByteBuffer bytes = ByteBuffer.allocate((int) Math.max(0, in.size() - position));
-                while (bytes.hasRemaining() && in.read(bytes, position + bytes.position()) >= 0) {
-                    continue;
+                int read = 0;
+                while (bytes.hasRemaining() && read >= 0) {
+                    ByteBuffer part = bytes.slice();
+                    part.limit(Math.min(part.remaining(), MAX_READ_BYTES));
+                    read = in.read(part, position + bytes.position());
+                    bytes.position(bytes.position() + Math.max(0, read));
                 }
                 return Arrays.copyOf(bytes.array(), bytes.position());
             } catch (NoSuchFileException e) {
@@ -250,13 +256,18 @@
          */
         void delete() throws IOException {
             files.delete(file(JOURNAL_FILE));
-            for (String name : List.of(JOURNAL_FILE + ".new", SNAPSHOT_FILE + ".new", SNAPSHOT_FILE,
-                    LOCK_FILE)) {
-                deleteOrWarn(name);
-            }
+            deleteDrafts();
+            deleteOrWarn(SNAPSHOT_FILE);
+            deleteOrWarn(LOCK_FILE);
             close();
         }
 
+        /** Deletes the files that a process which has ended was still preparing. */
+        void deleteDrafts() {
+            deleteOrWarn(JOURNAL_FILE + ".new");
+            deleteOrWarn(SNAPSHOT_FILE + ".new");
+        }
+
         private void deleteOrWarn(String name) {
             try {
                 files.delete(file(name));
--- a/src/test/java/wrenkeel/net/FailingFiles.java
+++ b/src/test/java/wrenkeel/net/FailingFiles.java
@@ -26,6 +26,9 @@
     /** These operations fail while set. */
     volatile boolean truncateFails, closeFails, replaceFails;
 
+    /** Runs after each write, replacement and deletion. */
+    volatile Runnable afterChange = () -> { };
+
     FailingFiles(String failure) {
         this.failure = failure;
     }
@@ -49,11 +52,13 @@
             throw new IOException("Input/output error");
         }
         SYSTEM.replace(source, target);
+        afterChange.run();
     }
 
     @Override
     public void delete(Path file) throws IOException {
         SYSTEM.delete(file);
+        afterChange.run();
     }
 
     private final class Channel extends FileChannel {
@@ -70,7 +75,9 @@
                 file.write(part);
             }
             throwIfFailing();
-            return file.write(bytes);
+            int written = file.write(bytes);
+            afterChange.run();
+            return written;
         }
 
         @Override
