--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -36,8 +36,9 @@
  * rewritten with the current state alone. All files together stay within the limit, because each accepted
  * message reserves the bytes that all its records may need ({@link JournalSpace}).
  *
- * <p>Not thread-safe. A failed write throws {@link IOException}; the whole file is then rewritten before
- * anything is appended, from what this object holds in memory.
+ * <p>Not thread-safe. A failed write throws {@link IOException}; before anything else is appended, the file
+ * is then repaired from what this object holds in memory. That rewrites the whole file, unless the next
+ * process reads it: the messages whose records are missing are then written once more at its end.
  */
 final class Journal implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
@@ -185,8 +186,10 @@
     /** Health from journals of earlier processes that {@link #takeInheritedHealth} has not returned yet. */
     private final Map<String, EndpointHealth> inheritedHealth = new LinkedHashMap<>();
     private FileChannel channel;
-    /** A write has failed, so the file must be rewritten before the next. */
-    private boolean rewriteNeeded;
+    /** A write has failed, so the file must be repaired before the next. */
+    private boolean repairNeeded;
+    /** Messages of which the file lacks a record; number 0 stands for the health of endpoints. */
+    private final Set<Long> unrecorded = new LinkedHashSet<>();
     /** The number given to a message last. */
     private long lastNumber;
     /**
@@ -536,7 +539,8 @@
         attempt.notMade = true;
         entry.attempts.add(attempt);
         // Without it in the file, the records of later attempts would have wrong numbers.
-        rewriteNeeded = true;
+        repairNeeded = true;
+        unrecorded.add(entry.number);
     }
 
     /** Records that an attempt had no effect, as its outcome has proved. */
@@ -603,17 +607,31 @@
             && space.isRewriteWorthwhile(predecessorBytes())) {
             rewrite();
         }
-        writeAtEnd(record);
+        try {
+            writeAtEnd(record);
+        } catch (IOException e) {
+            repairNeeded = true;
+            unrecorded.add(messageNumber(record));
+            throw e;
+        }
+    }
+
+    private static long messageNumber(byte[] record) {
+        return ByteBuffer.wrap(record).getLong(HEADER_BYTES + 1);
     }
 
-    /** Writes at the end of the file. After a failed write, the file is first rewritten. */
+    /** Writes at the end of the file, after a repair if one is needed. */
     private void writeAtEnd(byte[] records) throws IOException {
-        if (rewriteNeeded) {
-            rewrite();
+        if (repairNeeded) {
+            repair();
+        }
+        long before = channel.position();
+        try {
+            write(channel, records);
+        } catch (IOException e) {
+            repairNeeded = channel.position() != before;
+            throw e;
         }
-        rewriteNeeded = true;
-        write(channel, records);
-        rewriteNeeded = false;
         space.appended(records.length);
     }
 
@@ -637,9 +655,36 @@
         }
     }
 
-    /** Rewrites the file, which makes up for all failed writes before. */
+    /** Makes up for all failed writes before. */
     void repair() throws IOException {
-        rewrite();
+        if (handingOver) {
+            writeUnrecorded();
+        } else {
+            rewrite();
+        }
+    }
+
+    /**
+     * Writes what the file lacks at its end. The next process reads the file from where it has stopped, so
+     * that it must not be rewritten; it takes the last records of a message for the message's state.
+     */
+    private void writeUnrecorded() throws IOException {
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        for (long number : unrecorded) {
+            if (number == 0) {
+                endpointHealth.values().forEach(health -> records.writeBytes(healthRecord(health)));
+            } else if (entries.containsKey(number)) {
+                write(entries.get(number), records::writeBytes);
+            } else {
+                records.writeBytes(record(CLOSED, number, o -> { }));
+            }
+        }
+        repairNeeded = true;
+        write(channel, records.toByteArray());
+        repairNeeded = false;
+        unrecorded.clear();
+        space.reserve(records.size());
+        space.appended(records.size());
     }
 
     private interface RecordConsumer {
@@ -664,7 +709,10 @@
 
     /** Writes all current state to a new file, which then replaces the old one atomically. */
     private void rewrite() throws IOException {
-        rewriteNeeded = true;
+        repairNeeded = true;
+        if (!space.hasRoomFor(0, predecessorBytes())) {
+            throw new IOException("no space to rewrite the journal beside those of earlier processes");
+        }
         FileChannel next = files.open(newFile, StandardOpenOption.CREATE,
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE);
@@ -687,7 +735,8 @@
         }
         FileChannel old = channel;
         channel = next;
-        rewriteNeeded = false;
+        repairNeeded = false;
+        unrecorded.clear();
         try {
             if (old != null) {
                 old.close();
--- a/src/test/java/wrenkeel/net/SharedStateFolderTest.java
+++ b/src/test/java/wrenkeel/net/SharedStateFolderTest.java
@@ -193,6 +193,42 @@
         }
     }
 
+    /**
+     * Guards against lost and repeated messages: a failed write during the handover must not change what the
+     * next process has read of the file.
+     */
+    @Test
+    void aFailedWriteDuringTheHandoverLosesAndRepeatsNoMessage() throws IOException {
+        Journal old = start();
+        Journal next = start();
+        bodyBytes = 100;
+        List<Journal.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            entries.add(accept(old));
+        }
+        old.beginHandover();
+        old.publishSnapshot("{}");
+        next.adopt(entry -> { });
+        files.failure = "Input/output error";
+        assertThrows(IOException.class, () -> old.recordClosed(entries.get(0)));
+        assertThrows(IOException.class, () -> old.passOn(entries.get(1)));
+        assertThrows(IOException.class, () -> old.recordSent(entries.get(2), 1_000, 0));
+        files.failure = null;
+        old.repair();
+        old.passOn(entries.get(1));
+        old.recordSent(entries.get(2), 2_000, 0);
+        old.passOn(accept(old));
+        next.adopt(entry -> { });
+        assertEquals(Set.of("m2", "m5"), idsIn(next));
+        end(old);
+        next.adopt(entry -> { });
+        assertEquals(Set.of("m2", "m3", "m4", "m5"), idsIn(next));
+        Journal.Entry sent = next.openEntries().stream().filter(e -> e.message.id().equals("m3")).findAny()
+            .orElseThrow();
+        assertEquals(List.of(false, true), sent.attempts.stream().map(a -> a.mayHaveRun).toList(),
+            "the first was not sent, as it could not be recorded");
+    }
+
     private void clear() throws IOException {
         open.clear();
         undecided = null;
@@ -201,7 +237,7 @@
         }
     }
 
-    /** Plays a replacement with a kill, and a start after it; false if the replacement ended before the kill. */
+    /** Plays a replacement with a kill, and a start after it; false if it ended before the kill. */
     private boolean playWithKill(int kill) throws IOException {
         Journal old = start();
         Journal next = start();
