Excuse in the soak only the waits whose response the relay's failing read has lost

Cause: a response with Retry-After that was lost to a failing read can bind the relay no more than one that a link cut off or a restart lost; the oracle excused those, but did not know of reads.

Fix: the library that lets reads fail lists the port of the connection's other side and the time of each. The oracle excuses a wait only if a read of that relay's connection to that very endpoint failed within its usual 300 ms of the response. No time or relay is excused as a whole.

--- a/src/main/java/wrenkeel/soak/History.java
+++ b/src/main/java/wrenkeel/soak/History.java
@@ -88,10 +88,14 @@
      */
     record BadClientResult(int relay, String payload, long connectedAt, long endedAt) { }
 
+    /** A read of a relay's connection to an endpoint that was made to fail: what had come was never read. */
+    record FailedRead(int relay, int endpoint, long atMillis) { }
+
     private final Map<String, Message> messages = new HashMap<>();
     private final List<Call> calls = new ArrayList<>();
     private final List<BadClientResult> badClients = new ArrayList<>();
     private final List<Finding> findings = new ArrayList<>();
+    private final List<FailedRead> failedReads = new ArrayList<>();
     /** By relay: from the first signal that ends the process until its successor serves. */
     private final Map<Integer, List<Interval>> downtimes = new HashMap<>();
     /** By relay: from SIGKILL, sent even if the process has ended before, until its successor serves. */
@@ -159,6 +163,10 @@
         badClients.add(client);
     }
 
+    synchronized void recordFailedRead(FailedRead read) {
+        failedReads.add(read);
+    }
+
     /** Adds a violation that the run itself has detected. */
     synchronized void addFinding(Finding finding) {
         findings.add(finding);
@@ -216,6 +224,10 @@
         return List.copyOf(calls);
     }
 
+    synchronized List<FailedRead> failedReads() {
+        return List.copyOf(failedReads);
+    }
+
     synchronized List<BadClientResult> badClients() {
         return List.copyOf(badClients);
     }
--- a/src/main/java/wrenkeel/soak/Oracle.java
+++ b/src/main/java/wrenkeel/soak/Oracle.java
@@ -24,6 +24,8 @@
     private static final long AGENT_GRACE_MS = 1_000;
     /** Delays of the soak's own threads that no rule counts. */
     private static final long TOOL_SLACK_MS = 300;
+    /** Times of one moment may differ by so much, because different clocks round them. */
+    private static final long CLOCK_ROUNDING_MS = 2;
     /** Time after a response with Retry-After in which calls that were already on their way may arrive. */
     private static final long RETRY_AFTER_SLACK_MS = 100;
     /** Time after which a relay counts as notified of a list change: if the relay had a fault, and if not. */
@@ -134,16 +136,24 @@
         }
     }
 
+    /** Whether the relay could not read the response: its read of a connection to that endpoint failed. */
+    private boolean wasResponseUnread(History.Call call) {
+        return history.failedReads().stream().anyMatch(read -> read.relay() == call.relay()
+            && read.endpoint() == call.endpoint() && read.atMillis() >= call.atMillis() - CLOCK_ROUNDING_MS
+            && read.atMillis() <= call.atMillis() + TOOL_SLACK_MS);
+    }
+
     /**
      * Checks that a relay sends nothing to any endpoint of a destination before the end of a Retry-After that
-     * it has received from one of them. A relay that was restarted in between need not know of it.
+     * it has received from one of them. A relay that was restarted in between, or whose read of the response
+     * failed, need not know of it.
      */
     private void checkRetryAfter() {
         List<History.Call> calls = history.calls().stream()
             .sorted(Comparator.comparingLong(History.Call::atMillis)).toList();
         for (History.Call refused : calls) {
             long until = refused.atMillis() + refused.retryAfterMillis();
-            if (refused.retryAfterMillis() == 0
+            if (refused.retryAfterMillis() == 0 || wasResponseUnread(refused)
                 || firstOverlap(history.linkFaults(refused.endpoint()), refused.atMillis() - TOOL_SLACK_MS,
                     refused.atMillis() + TOOL_SLACK_MS) != null) {
                 continue;
--- a/src/main/java/wrenkeel/soak/Shim.java
+++ b/src/main/java/wrenkeel/soak/Shim.java
@@ -7,6 +7,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -21,9 +23,21 @@
      */
     enum Word {
         WALL_STEP_S, ACCEPT_ERRNO, ACCEPT_COUNT, CONNECT_ERRNO, CONNECT_COUNT, SOCKET_ERRNO, SOCKET_COUNT,
-        FILE_ERRNO, FILE_HALF, SHORT_IO, EINTR_COUNT, PAUSE_MS, PAUSE_COUNT, READ_ERRNO, READ_COUNT
+        FILE_ERRNO, FILE_HALF, SHORT_IO, EINTR_COUNT, PAUSE_MS, PAUSE_COUNT, READ_ERRNO, READ_COUNT,
+        FAILED_READS
     }
 
+    /**
+     * A read of a connection that the shim has let fail.
+     *
+     * @param peerPort port of the connection's other side
+     * @param agoMillis how long ago
+     */
+    record FailedRead(int peerPort, long agoMillis) { }
+
+    /** Entries in the log of failed reads, which follows the words; each has two words. */
+    private static final int MAX_FAILED_READS = 4_096;
+
     /** Error numbers of Linux. */
     static final int EIO = 5, ENFILE = 23, ENOSPC = 28, EADDRNOTAVAIL = 99, ENETUNREACH = 101, ENOBUFS = 105,
         ETIMEDOUT = 110, EHOSTUNREACH = 113;
@@ -36,7 +50,7 @@
     /** Creates the control file with all words 0: no call fails. */
     Shim(Path file) throws IOException {
         this.file = file;
-        int bytes = Word.values().length * Integer.BYTES;
+        int bytes = (Word.values().length + 2 * MAX_FAILED_READS) * Integer.BYTES;
         Files.write(file, new byte[bytes]);
         try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ,
                 StandardOpenOption.WRITE)) {
@@ -50,6 +64,20 @@
         words.putInt(word.ordinal() * Integer.BYTES, value);
     }
 
+    /** Returns the reads that have failed so far. */
+    List<FailedRead> failedReads() {
+        int nowMillis = (int) TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        int count = Math.min(MAX_FAILED_READS, words.getInt(Word.FAILED_READS.ordinal() * Integer.BYTES));
+        List<FailedRead> reads = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            int entry = (Word.values().length + 2 * i) * Integer.BYTES;
+            // The log has the lower 32 bits of the time.
+            int agoMillis = nowMillis - words.getInt(entry + Integer.BYTES);
+            reads.add(new FailedRead(words.getInt(entry), agoMillis));
+        }
+        return reads;
+    }
+
     /** The environment variables that load the shim into a process. */
     Map<String, String> environment(Path library) {
         return Map.of("LD_PRELOAD", library.toString(), "SOAK_SHIM", file.toString());
--- a/src/main/java/wrenkeel/soak/SoakRun.java
+++ b/src/main/java/wrenkeel/soak/SoakRun.java
@@ -8,7 +8,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -195,9 +197,27 @@
         TimeUnit.MILLISECONDS.sleep(TAIL_MS);
         watcher.cancel(true);
         collectLoggedErrors();
+        collectFailedReads();
         return Oracle.check(history);
     }
 
+    /** Records which reads of connections to endpoints have failed. */
+    private void collectFailedReads() {
+        Map<Integer, Integer> endpointsByPort = new HashMap<>();
+        for (int endpoint = 0; endpoint < endpointLinks.size(); endpoint++) {
+            endpointsByPort.put(endpointLinks.get(endpoint).address().getPort(), endpoint);
+        }
+        for (RelayHandle relay : relays) {
+            for (Shim.FailedRead read : relay.shim.failedReads()) {
+                Integer endpoint = endpointsByPort.get(read.peerPort());
+                if (endpoint != null) {
+                    history.recordFailedRead(new History.FailedRead(relay.number, endpoint,
+                        nowMillis() - read.agoMillis()));
+                }
+            }
+        }
+    }
+
     private static void awaitAll(List<? extends Future<?>> all)
         throws InterruptedException, ExecutionException {
         for (Future<?> task : all) {
@@ -254,7 +274,7 @@
             .filter(message -> message.status == 429 || message.status == 503).count();
         return all.size() + " messages, " + accepted + " accepted, " + delivered + " delivered, " + refused
             + " refused, " + history.calls().size() + " calls, " + history.badClients().size()
-            + " bad clients";
+            + " bad clients, " + history.failedReads().size() + " failed reads of endpoints' responses";
     }
 
     // ---- Faults ---------------------------------------------------------------------------------
--- a/src/main/native/soak_shim.c
+++ b/src/main/native/soak_shim.c
@@ -4,9 +4,11 @@
  * that the soak maps too and changes while the process runs. Without that file no call fails.
  */
 #define _GNU_SOURCE
+#include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -39,7 +41,9 @@
     PAUSE_COUNT,
     READ_ERRNO,    /* error of the next READ_COUNT reads of sockets */
     READ_COUNT,
-    WORDS
+    FAILED_READS,  /* number of reads of connected sockets that have failed, which FAILED_READ_LOG lists */
+    FAILED_READ_LOG,
+    WORDS = FAILED_READ_LOG + 2 * 4096
 };
 
 /* Used in place of the control file if there is none. */
@@ -223,11 +227,32 @@
     return real(fd, parts, count);
 }
 
+/* Adds to the log the peer's port, and the time on the monotonic clock in ms, of a read that fails. */
+static void log_failed_read(int fd)
+{
+    REAL(clock_gettime);
+    struct sockaddr_in6 peer;
+    socklen_t length = sizeof peer;
+    struct timespec now;
+    int entry;
+
+    /* In addresses of IPv4 and IPv6 the port is at the same place. */
+    if (getpeername(fd, (struct sockaddr *)&peer, &length) != 0)
+        return;
+    real(CLOCK_MONOTONIC, &now);
+    entry = FAILED_READ_LOG + 2 * atomic_fetch_add(&control[FAILED_READS], 1);
+    if (entry + 1 < WORDS) {
+        atomic_store(&control[entry], ntohs(peer.sin6_port));
+        atomic_store(&control[entry + 1], (int)(unsigned)(now.tv_sec * 1000L + now.tv_nsec / 1000000));
+    }
+}
+
 ssize_t read(int fd, void *buffer, size_t count)
 {
     REAL(read);
 
     if (atomic_load(&control[READ_COUNT]) > 0 && is_socket(fd) && take(READ_COUNT)) {
+        log_failed_read(fd);
         errno = atomic_load(&control[READ_ERRNO]);
         return -1;
     }
--- a/src/test/java/wrenkeel/soak/OracleTest.java
+++ b/src/test/java/wrenkeel/soak/OracleTest.java
@@ -100,6 +100,25 @@
         assertEquals(List.of(), brokenRules());
     }
 
+    /**
+     * Guards against a finding where a relay's reads fail: a wait that it could not read binds it no more
+     * than one that it lost in a restart, while any other wait does.
+     */
+    @Test
+    void aRetryAfterBindsUnlessTheReadOfThatVeryResponseFailed() {
+        accept("a", Effect.SAFE, 100, 5_000);
+        recordCall("a", 150, 2_000, false);
+        recordCall("a", 1_000, 0, true);
+        history.recordDelivery("a", 1_050);
+        history.recordFailedRead(new History.FailedRead(RELAY + 1, ENDPOINT, 151));
+        history.recordFailedRead(new History.FailedRead(RELAY, ENDPOINT + 1, 151));
+        history.recordFailedRead(new History.FailedRead(RELAY, ENDPOINT, 100));
+        history.recordFailedRead(new History.FailedRead(RELAY, ENDPOINT, 900));
+        assertEquals(List.of("sent within a wait"), brokenRules());
+        history.recordFailedRead(new History.FailedRead(RELAY, ENDPOINT, 151));
+        assertEquals(List.of(), brokenRules());
+    }
+
     @Test
     void reportsCallToDrainingEndpointLaterIfTheRelayHadAFault() {
         history.drains(ENDPOINT, new Interval(1_000, 12_000));
