--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -1,9 +1,6 @@
 package wrenkeel.net;
 
-import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -20,7 +17,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wrenkeel.Relay;
@@ -30,9 +26,7 @@
  * of the state folder. Each process writes a file of its own. A later process adopts the open messages from
  * the files of earlier ones; each message is adopted once, even if processes are killed meanwhile.
  *
- * <p>A record consists of the content's length (4 bytes), the CRC-32 of the content (4 bytes) and the
- * content: the record's type (1 byte), the number of the message (8 bytes) and further fields that depend on
- * the type. Records whose checksum does not match are skipped on reading. When the file has grown, it is
+ * <p>The file consists of {@link JournalRecords}. When it has grown, it is
  * rewritten with the current state alone. All files together stay within the limit, because each accepted
  * message reserves the bytes that all its records may need ({@link JournalSpace}).
  *
@@ -42,54 +36,8 @@
  */
 final class Journal implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
-    /** A record's length and checksum. */
-    private static final int HEADER_BYTES = 8;
-    /** A body of up to 64 KiB, and ids, keys and the message class, which are far shorter. */
-    private static final int MAX_CONTENT_BYTES = 128 * 1024;
-    /**
-     * Bytes of mismatched checksums after which the rest of a file is skipped. Any position in a damaged
-     * range may look like the header of a long record, and checking all of them would delay the start for too
-     * long.
-     */
-    private static final long MAX_MISMATCHED_BYTES = 64 << 20;
-    /** The type and the number. */
-    private static final int MIN_CONTENT_BYTES = 9;
     /** Zone of an attempt whose record is lost; no host has it. */
     private static final int UNKNOWN_ZONE = -1;
-    /** Attempts for which a message reserves space if its class was not recorded. */
-    private static final int DEFAULT_MAX_ATTEMPTS = 16;
-    /** An attempt: the record of its send and the one of its outcome. */
-    private static final int ATTEMPT_BYTES = (HEADER_BYTES + 23) + (HEADER_BYTES + 11);
-    /** A message's end: its record and the one that closes the message. */
-    private static final int END_BYTES = (HEADER_BYTES + 18) + (HEADER_BYTES + 9);
-
-    // Types of records. The numbers are stored and must not change.
-    /** A message of a release that did not record the message's class. */
-    private static final byte ACCEPTED_WITHOUT_CLASS = 1;
-    /** An attempt is about to be sent. */
-    private static final byte SENT = 2;
-    /** An attempt had no effect at the host. */
-    private static final byte NOT_RUN = 3;
-    /** The end of a message was decided, and its notice is due. */
-    private static final byte ENDED = 4;
-    /** Nothing more is to be done for a message. */
-    private static final byte CLOSED = 5;
-    /** The message of this number was adopted from the given process; the number is that in its journal. */
-    private static final byte ADOPTED = 6;
-    /** The journal of the process of this number holds no open message any more. */
-    private static final byte PREDECESSOR_EMPTIED = 7;
-    /** A message belongs to the next process from now on. */
-    private static final byte PASSED_ON = 8;
-    /** A host asked the relay to wait. */
-    private static final byte WAIT = 9;
-    /** A message was accepted, with its class. */
-    private static final byte ACCEPTED = 10;
-    /** The clocks of the process that writes the file. */
-    private static final byte CLOCK = 11;
-    /** An attempt was never made, because this machine had no socket for it. */
-    private static final byte NOT_MADE = 12;
-    /** The health of an endpoint has changed. */
-    private static final byte ENDPOINT_HEALTH = 13;
 
     /** One attempt to send a message. */
     static final class Attempt {
@@ -103,7 +51,7 @@
          * Whether the attempt was never made, because this machine failed. It keeps its number among the
          * attempts of this process, but is not adopted by the next.
          */
-        private boolean notMade;
+        boolean notMade;
 
         Attempt(long sentMillis, int zone) {
             this.sentMillis = sentMillis;
@@ -145,11 +93,11 @@
         final List<Attempt> attempts = new ArrayList<>();
         /** Null until the end is decided. */
         End end;
-        private long reservedBytes;
+        long reservedBytes;
         /** Whether records may be missing, so that the numbers of its attempts are unknown. */
-        private boolean incomplete;
+        boolean incomplete;
 
-        private Entry(long number, Message message, Relay.MessageClass messageClass) {
+        Entry(long number, Message message, Relay.MessageClass messageClass) {
             this.number = number;
             this.message = message;
             this.messageClass = messageClass;
@@ -159,7 +107,7 @@
          * Adds an attempt for the records that may be missing: sent as early as the message can have been
          * accepted, to an unknown zone.
          */
-        private void markIncomplete() {
+        void markIncomplete() {
             if (!incomplete) {
                 incomplete = true;
                 long lifetimeMillis = messageClass == null ? 0 : messageClass.lifetime() / 1_000;
@@ -370,7 +318,7 @@
     void endpointHealth(EndpointHealth health) throws IOException {
         boolean known = endpointHealth.containsKey(health.host);
         if (keepHealth(health) || known) {
-            append(healthRecord(health));
+            append(JournalRecords.health(health));
         }
     }
 
@@ -382,8 +330,8 @@
     /** Updates the health in memory; returns false if it needs no record or there is no space for one. */
     private boolean keepHealth(EndpointHealth health) {
         EndpointHealth before = endpointHealth.remove(health.host);
-        space.healthChanged(before == null ? 0 : -healthRecord(before).length);
-        int length = healthRecord(health).length;
+        space.healthChanged(before == null ? 0 : -JournalRecords.health(before).length);
+        int length = JournalRecords.health(health).length;
         if (health.health == Relay.Health.GOOD || !space.hasRoomForHealth(length)) {
             return false;
         }
@@ -400,12 +348,13 @@
     private void removePredecessor(PredecessorJournal predecessor) throws IOException {
         ByteArrayOutputStream records = new ByteArrayOutputStream();
         for (EndpointHealth health : endpointHealth.values()) {
-            records.writeBytes(healthRecord(health));
+            records.writeBytes(JournalRecords.health(health));
         }
         for (Origin origin : predecessor.adopted) {
-            records.writeBytes(adoptedRecord(origin));
+            records.writeBytes(JournalRecords.adopted(origin));
         }
-        records.writeBytes(record(PREDECESSOR_EMPTIED, predecessor.number(), o -> { }));
+        records.writeBytes(
+            JournalRecords.record(JournalRecords.PREDECESSOR_EMPTIED, predecessor.number(), o -> { }));
         writeAtEnd(records.toByteArray());
         predecessor.process.delete();
         predecessors.remove(predecessor);
@@ -422,10 +371,10 @@
             .forEach(attempt -> entry.attempts.add(attempt.withSendTime(times.sendTime(attempt.sentMillis))));
         entry.end = source.end;
         ByteArrayOutputStream records = new ByteArrayOutputStream();
-        records.writeBytes(adoptedRecord(origin));
+        records.writeBytes(JournalRecords.adopted(origin));
         write(entry, records::writeBytes);
         writeAtEnd(records.toByteArray());
-        entry.reservedBytes = bytesToReserve(acceptedRecord(entry).length, source.messageClass);
+        entry.reservedBytes = JournalRecords.bytesToReserve(entry);
         space.reserve(entry.reservedBytes);
         entries.put(entry.number, entry);
         return entry;
@@ -463,13 +412,13 @@
 
     /** Passes a message on: from now on it belongs to the next process. */
     void passOn(Entry entry) throws IOException {
-        append(record(PASSED_ON, entry.number, o -> { }));
+        append(JournalRecords.record(JournalRecords.PASSED_ON, entry.number, o -> { }));
         removeEntry(entry.number);
     }
 
     /** Records, for the next process, that a host asked to wait until the given Unix time. */
     void waits(String host, long untilMillis) throws IOException {
-        byte[] record = record(WAIT, 0, o -> {
+        byte[] record = JournalRecords.record(JournalRecords.WAIT, 0, o -> {
             o.writeLong(untilMillis);
             o.writeUTF(host);
         });
@@ -490,8 +439,8 @@
     /** Records a new message; returns null if there is no space for the records that it may need. */
     Entry accept(Message message, Relay.MessageClass messageClass) throws IOException {
         Entry entry = new Entry(lastNumber + 1, message, messageClass);
-        byte[] record = acceptedRecord(entry);
-        entry.reservedBytes = bytesToReserve(record.length, messageClass);
+        byte[] record = JournalRecords.accepted(entry);
+        entry.reservedBytes = JournalRecords.bytesToReserve(entry);
         if (!hasRoomFor(entry)) {
             return null;
         }
@@ -512,7 +461,7 @@
     void recordSent(Entry entry, long sentMillis, int zone) throws IOException {
         Attempt attempt = new Attempt(sentMillis, zone);
         try {
-            append(sentRecord(entry, attempt));
+            append(JournalRecords.sent(entry, attempt));
         } catch (IOException e) {
             // The attempt is not sent then. It keeps its number, so that later attempts keep theirs.
             attempt.mayHaveRun = false;
@@ -526,7 +475,7 @@
     void recordNotMade(Entry entry, int attempt) throws IOException {
         entry.attempts.get(attempt).mayHaveRun = false;
         entry.attempts.get(attempt).notMade = true;
-        append(record(NOT_MADE, entry.number, o -> o.writeShort(attempt)));
+        append(JournalRecords.record(JournalRecords.NOT_MADE, entry.number, o -> o.writeShort(attempt)));
     }
 
     /**
@@ -546,19 +495,19 @@
     /** Records that an attempt had no effect, as its outcome has proved. */
     void recordNotRun(Entry entry, int attempt) throws IOException {
         entry.attempts.get(attempt).mayHaveRun = false;
-        append(record(NOT_RUN, entry.number, o -> o.writeShort(attempt)));
+        append(JournalRecords.record(JournalRecords.NOT_RUN, entry.number, o -> o.writeShort(attempt)));
     }
 
     /** Records the end that was decided for a message; its notice is due from now on. */
     void recordEnd(Entry entry, End end) throws IOException {
         entry.end = end;
-        append(endRecord(entry.number, end));
+        append(JournalRecords.ended(entry.number, end));
     }
 
     /** Closes a message that was delivered or withdrawn, or whose notice was acknowledged. */
     void recordClosed(Entry entry) throws IOException {
         removeEntry(entry.number);
-        append(record(CLOSED, entry.number, o -> { }));
+        append(JournalRecords.record(JournalRecords.CLOSED, entry.number, o -> { }));
     }
 
     @Override
@@ -567,12 +516,6 @@
         lease.close();
     }
 
-    /** Returns the size of all records that a message may need, given that of its first one. */
-    private static long bytesToReserve(int acceptedBytes, Relay.MessageClass messageClass) {
-        int maxAttempts = messageClass == null ? DEFAULT_MAX_ATTEMPTS : messageClass.maxAttempts();
-        return acceptedBytes + (long) maxAttempts * ATTEMPT_BYTES + END_BYTES;
-    }
-
     /** Whether there is room for a new message; makes room by a rewrite if that helps. */
     private boolean hasRoomFor(Entry entry) throws IOException {
         long unadopted = predecessors.stream().mapToLong(PredecessorJournal::unadoptedBytes).sum();
@@ -611,15 +554,11 @@
             writeAtEnd(record);
         } catch (IOException e) {
             repairNeeded = true;
-            unrecorded.add(messageNumber(record));
+            unrecorded.add(JournalRecords.messageNumber(record));
             throw e;
         }
     }
 
-    private static long messageNumber(byte[] record) {
-        return ByteBuffer.wrap(record).getLong(HEADER_BYTES + 1);
-    }
-
     /** Writes at the end of the file, after a repair if one is needed. */
     private void writeAtEnd(byte[] records) throws IOException {
         if (repairNeeded) {
@@ -672,11 +611,11 @@
         ByteArrayOutputStream records = new ByteArrayOutputStream();
         for (long number : unrecorded) {
             if (number == 0) {
-                endpointHealth.values().forEach(health -> records.writeBytes(healthRecord(health)));
+                endpointHealth.values().forEach(health -> records.writeBytes(JournalRecords.health(health)));
             } else if (entries.containsKey(number)) {
                 write(entries.get(number), records::writeBytes);
             } else {
-                records.writeBytes(record(CLOSED, number, o -> { }));
+                records.writeBytes(JournalRecords.record(JournalRecords.CLOSED, number, o -> { }));
             }
         }
         repairNeeded = true;
@@ -693,17 +632,18 @@
 
     /** Writes all records of a message. */
     private static void write(Entry entry, RecordConsumer to) throws IOException {
-        to.accept(acceptedRecord(entry));
+        to.accept(JournalRecords.accepted(entry));
         for (int i = 0; i < entry.attempts.size(); i++) {
             int attempt = i;
-            to.accept(sentRecord(entry, entry.attempts.get(i)));
+            to.accept(JournalRecords.sent(entry, entry.attempts.get(i)));
             if (!entry.attempts.get(i).mayHaveRun) {
-                byte type = entry.attempts.get(i).notMade ? NOT_MADE : NOT_RUN;
-                to.accept(record(type, entry.number, o -> o.writeShort(attempt)));
+                byte type = entry.attempts.get(i).notMade ? JournalRecords.NOT_MADE
+                    : JournalRecords.NOT_RUN;
+                to.accept(JournalRecords.record(type, entry.number, o -> o.writeShort(attempt)));
             }
         }
         if (entry.end != null) {
-            to.accept(endRecord(entry.number, entry.end));
+            to.accept(JournalRecords.ended(entry.number, entry.end));
         }
     }
 
@@ -717,12 +657,12 @@
             StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.WRITE);
         try {
-            write(next, clockRecord(clock.reading()));
+            write(next, JournalRecords.clock(clock.reading()));
             for (EndpointHealth health : endpointHealth.values()) {
-                write(next, healthRecord(health));
+                write(next, JournalRecords.health(health));
             }
             for (Origin origin : adopted) {
-                write(next, adoptedRecord(origin));
+                write(next, JournalRecords.adopted(origin));
             }
             for (Entry entry : entries.values()) {
                 write(entry, record -> write(next, record));
@@ -760,345 +700,5 @@
     /**
      * Identifies a message by the process that it was adopted from and its number in that process's journal.
      */
-    private record Origin(long process, long number) { }
-
-    /** The journal of an earlier process, read incrementally while that process may still be writing it. */
-    private static final class PredecessorJournal {
-        final ProcessLease.OtherProcess process;
-        /** Open messages that are not adopted yet, by number. */
-        final Map<Long, Entry> entries = new LinkedHashMap<>();
-        /** Numbers of the messages that the process has passed on. */
-        final Set<Long> passedOn = new HashSet<>();
-        /** The messages that the process has adopted itself. */
-        final Set<Origin> adopted = new HashSet<>();
-        /** Numbers of processes whose journals hold no open message any more. */
-        final Set<Long> emptied = new HashSet<>();
-        /** Until when hosts asked to wait, in Unix time by the process's clock (ms), by host. */
-        final Map<String, Long> waits = new HashMap<>();
-        /** Health of endpoints that is not inherited yet. */
-        final Map<String, EndpointHealth> endpointHealth = new LinkedHashMap<>();
-        /** Null in a journal of a release that did not record its clocks. */
-        private ProcessClock.Reading clockReading;
-        /** The latest time in the journal: Unix time by the process's clock. */
-        private long latestMillis;
-        private RecordedTimes times;
-        /** Whether the process had ended before the last read. */
-        boolean processEnded;
-        /** Bytes of the file that have been read or skipped. */
-        long readBytes;
-        /** Total length of the contents whose checksum did not match. */
-        private long mismatchedBytes;
-
-        PredecessorJournal(ProcessLease.OtherProcess process) {
-            this.process = process;
-        }
-
-        long number() {
-            return process.number();
-        }
-
-        /** Returns what the messages that are not adopted yet will reserve in this process's journal. */
-        long unadoptedBytes() {
-            return entries.values().stream().mapToLong(entry -> entry.reservedBytes).sum();
-        }
-
-        /**
-         * Returns how the journal's times convert to this process's clock, from what has been read so far.
-         * Once the writing process's clocks are known, which are the first record of a file, the result is
-         * final.
-         */
-        RecordedTimes times(ProcessClock ownClock) {
-            if (times != null) {
-                return times;
-            }
-            RecordedTimes current = RecordedTimes.of(ownClock, clockReading, latestMillis);
-            times = clockReading == null ? null : current;
-            return current;
-        }
-
-        private void noteTime(long millis) {
-            latestMillis = Math.max(latestMillis, millis);
-        }
-
-        /**
-         * Reads the records written since the last call. Bytes that form no valid record are left for the
-         * next call while the process lives, as they may be still being written; after its end they are
-         * skipped. An unfinished record at the end of the file was never acted on. Any other skipped range
-         * may have held records of any message before it, all of which then count as possibly processed.
-         */
-        void readNewRecords() throws IOException {
-            ByteBuffer in = ByteBuffer.wrap(process.readJournalFrom(readBytes));
-            int skippedBytes = 0;
-            boolean unfinished = false;
-            while (in.hasRemaining()) {
-                byte[] content = nextContent(in);
-                if (content == null && !processEnded) {
-                    return;
-                }
-                if (content == null) {
-                    boolean limitExceeded = mismatchedBytes > MAX_MISMATCHED_BYTES;
-                    unfinished = !limitExceeded && (skippedBytes == 0 ? isUnfinished(in) : unfinished);
-                    int skip = limitExceeded ? in.remaining() : 1;
-                    in.position(in.position() + skip);
-                    skippedBytes += skip;
-                    readBytes += skip;
-                    continue;
-                }
-                if (skippedBytes > 0) {
-                    markGap(skippedBytes);
-                    skippedBytes = 0;
-                }
-                readBytes += content.length + HEADER_BYTES;
-                replay(content);
-            }
-            if (skippedBytes > 0 && !unfinished) {
-                markGap(skippedBytes);
-            } else if (skippedBytes > 0) {
-                LOG.warn("journal ends with an unfinished record, {} bytes skipped", skippedBytes);
-            }
-        }
-
-        /** Reads the next record's content; returns null and reads nothing if no valid record begins here. */
-        private byte[] nextContent(ByteBuffer in) {
-            if (in.remaining() < HEADER_BYTES) {
-                return null;
-            }
-            int start = in.position();
-            int length = in.getInt(start);
-            if (length < MIN_CONTENT_BYTES || length > MAX_CONTENT_BYTES
-                || length > in.remaining() - HEADER_BYTES) {
-                return null;
-            }
-            if (crc(in.slice(start + HEADER_BYTES, length)) != in.getInt(start + Integer.BYTES)) {
-                mismatchedBytes += length;
-                return null;
-            }
-            byte[] content = new byte[length];
-            in.position(start + HEADER_BYTES).get(content);
-            return content;
-        }
-
-        /** Whether the rest of the file can be a record of which only the beginning was written. */
-        private static boolean isUnfinished(ByteBuffer in) {
-            if (in.remaining() < HEADER_BYTES) {
-                return true;
-            }
-            int length = in.getInt(in.position());
-            return length >= MIN_CONTENT_BYTES && length <= MAX_CONTENT_BYTES
-                && length > in.remaining() - HEADER_BYTES;
-        }
-
-        /** Notes that records may be lost here: any message before this point may have been sent. */
-        private void markGap(int bytes) {
-            LOG.warn("journal {}: {} bytes are unreadable, {} messages before them may have been processed",
-                number(), bytes, entries.size());
-            entries.values().forEach(Entry::markIncomplete);
-        }
-
-        /** Replays a record. If it cannot be decoded, that is logged and its message may have been sent. */
-        private void replay(byte[] content) {
-            try {
-                replay(new DataInputStream(new ByteArrayInputStream(content)));
-            } catch (IOException | RuntimeException e) {
-                long messageNumber = ByteBuffer.wrap(content).getLong(1);
-                LOG.warn("journal {}: cannot decode a record of message {}: {}", number(),
-                    messageNumber, e.toString());
-                if (entries.containsKey(messageNumber)) {
-                    entries.get(messageNumber).markIncomplete();
-                }
-            }
-        }
-
-        private void replay(DataInputStream in) throws IOException {
-            byte type = in.readByte();
-            long number = in.readLong();
-            Entry entry = entries.get(number);
-            switch (type) {
-                case CLOCK -> {
-                    clockReading = new ProcessClock.Reading(in.readUTF(), in.readLong(), in.readLong());
-                    noteTime(clockReading.millis());
-                }
-                case ACCEPTED_WITHOUT_CLASS -> putEntry(new Entry(number, readMessage(in), null));
-                case ACCEPTED -> {
-                    Relay.MessageClass messageClass = messageClass(in);
-                    putEntry(new Entry(number, readMessage(in), messageClass));
-                }
-                case ADOPTED -> adopted.add(new Origin(in.readLong(), number));
-                case PREDECESSOR_EMPTIED -> emptied.add(number);
-                case PASSED_ON -> passedOn.add(number);
-                case WAIT -> {
-                    long until = in.readLong();
-                    waits.put(in.readUTF(), until);
-                }
-                case CLOSED -> entries.remove(number);
-                case ENDPOINT_HEALTH -> {
-                    EndpointHealth health = endpointHealth(in);
-                    noteTime(health.sinceMillis);
-                    if (health.health == Relay.Health.GOOD) {
-                        endpointHealth.remove(health.host);
-                    } else {
-                        endpointHealth.put(health.host, health);
-                    }
-                }
-                default -> {
-                    if (entry != null) {
-                        replayForEntry(entry, type, in);
-                        entry.attempts.forEach(attempt -> noteTime(attempt.sentMillis));
-                    }
-                }
-            }
-        }
-
-        private void putEntry(Entry entry) throws IOException {
-            entry.reservedBytes = bytesToReserve(acceptedRecord(entry).length, entry.messageClass);
-            entries.put(entry.number, entry);
-        }
-
-        /** Replays a record that changes an open message. */
-        private static void replayForEntry(Entry entry, byte type, DataInputStream in) throws IOException {
-            switch (type) {
-                case SENT -> entry.attempts.add(new Attempt(in.readLong(), in.readInt()));
-                case NOT_RUN -> {
-                    if (!entry.incomplete) {
-                        entry.attempts.get(in.readShort()).mayHaveRun = false;
-                    }
-                }
-                case NOT_MADE -> {
-                    if (!entry.incomplete) {
-                        Attempt attempt = entry.attempts.get(in.readShort());
-                        attempt.mayHaveRun = false;
-                        attempt.notMade = true;
-                    }
-                }
-                case ENDED -> entry.end = new End(in.readBoolean(), in.readLong());
-                default -> throw new IOException("unknown record type " + type);
-            }
-        }
-    }
-
-    // ---- Records --------------------------------------------------------------------------------
-    /** Writes the fields of a record's content. */
-    private interface ContentWriter {
-        void write(DataOutputStream out) throws IOException;
-    }
-
-    /** Encodes a record; {@code fields} writes what follows the type and the number. */
-    private static byte[] record(byte type, long number, ContentWriter fields) throws IOException {
-        ByteArrayOutputStream content = new ByteArrayOutputStream();
-        DataOutputStream out = new DataOutputStream(content);
-        out.writeByte(type);
-        out.writeLong(number);
-        fields.write(out);
-        byte[] bytes = content.toByteArray();
-        int checksum = crc(ByteBuffer.wrap(bytes));
-        return ByteBuffer.allocate(HEADER_BYTES + bytes.length)
-            .putInt(bytes.length).putInt(checksum).put(bytes).array();
-    }
-
-    private static byte[] healthRecord(EndpointHealth health) {
-        try {
-            return record(ENDPOINT_HEALTH, 0, o -> {
-                o.writeUTF(health.host);
-                o.writeByte(health.health.ordinal());
-                o.writeLong(health.sinceMillis);
-                o.writeDouble(health.callsPerSecond);
-            });
-        } catch (IOException e) {
-            throw new IllegalStateException("writing to a byte array failed", e);
-        }
-    }
-
-    private static EndpointHealth endpointHealth(DataInputStream in) throws IOException {
-        String host = in.readUTF();
-        return new EndpointHealth(host, Relay.Health.values()[in.readByte()], in.readLong(), in.readDouble());
-    }
-
-    private static byte[] clockRecord(ProcessClock.Reading clock) throws IOException {
-        return record(CLOCK, 0, o -> {
-            o.writeUTF(clock.bootId());
-            o.writeLong(clock.millis());
-            o.writeLong(clock.nanos());
-        });
-    }
-
-    private static byte[] adoptedRecord(Origin origin) throws IOException {
-        return record(ADOPTED, origin.number, o -> o.writeLong(origin.process));
-    }
-
-    private static byte[] acceptedRecord(Entry entry) throws IOException {
-        Message message = entry.message;
-        return record(entry.messageClass == null ? ACCEPTED_WITHOUT_CLASS : ACCEPTED, entry.number, o -> {
-            if (entry.messageClass != null) {
-                messageClass(o, entry.messageClass);
-            }
-            o.writeUTF(message.id());
-            o.writeUTF(message.messageClass());
-            o.writeInt(message.tenant());
-            optionalText(o, message.routeKey());
-            optionalText(o, message.idempotencyKey());
-            o.writeLong(message.destination());
-            o.writeLong(message.deadline());
-            o.writeInt(message.body().length);
-            o.write(message.body());
-        });
-    }
-
-    private static void messageClass(DataOutputStream out, Relay.MessageClass messageClass)
-        throws IOException {
-        out.writeUTF(messageClass.name());
-        out.writeLong(messageClass.aim());
-        out.writeLong(messageClass.lifetime());
-        out.writeDouble(messageClass.worth());
-        out.writeDouble(messageClass.lateWorth());
-        out.writeByte(messageClass.effect().ordinal());
-        out.writeBoolean(messageClass.dedupPerZone());
-        out.writeLong(messageClass.dedupWindow());
-        out.writeBoolean(messageClass.inOrder());
-        out.writeShort(messageClass.maxAttempts());
-    }
-
-    private static Relay.MessageClass messageClass(DataInputStream in) throws IOException {
-        return new Relay.MessageClass(in.readUTF(), in.readLong(), in.readLong(), in.readDouble(),
-            in.readDouble(), Relay.Effect.values()[in.readByte()], in.readBoolean(), in.readLong(),
-            in.readBoolean(), in.readShort());
-    }
-
-    private static Message readMessage(DataInputStream in) throws IOException {
-        return new Message(in.readUTF(), in.readUTF(), in.readInt(), optionalText(in), optionalText(in),
-            in.readLong(), in.readLong(), in.readNBytes(in.readInt()));
-    }
-
-    /** Encodes the record of an attempt. */
-    private static byte[] sentRecord(Entry entry, Attempt attempt) throws IOException {
-        return record(SENT, entry.number, o -> {
-            o.writeLong(attempt.sentMillis);
-            o.writeInt(attempt.zone);
-        });
-    }
-
-    /** Encodes the record of a message's end. */
-    private static byte[] endRecord(long number, End end) throws IOException {
-        return record(ENDED, number, o -> {
-            o.writeBoolean(end.refused());
-            o.writeLong(end.retryAfterMicros());
-        });
-    }
-
-    /** Writes a text that may be null. */
-    private static void optionalText(DataOutputStream out, String text) throws IOException {
-        out.writeBoolean(text != null);
-        if (text != null) {
-            out.writeUTF(text);
-        }
-    }
-
-    private static String optionalText(DataInputStream in) throws IOException {
-        return in.readBoolean() ? in.readUTF() : null;
-    }
-
-    private static int crc(ByteBuffer bytes) {
-        CRC32 crc = new CRC32();
-        crc.update(bytes);
-        return (int) crc.getValue();
-    }
+    record Origin(long process, long number) { }
 }
