Read a connection on once the last of several requests on it is answered

What callers would see: after two or more messages that were written at once, the next request on that connection is read only when its timeout of 2.6 s expires.

Cause: reading pauses when input is held back. The last held request is decoded with reading still paused; its response found no further input and did not resume reading.

Evidence: the new test of ServerConnectionTest finds the connection not reading after two responses; without the assertion it passed, as the timeout reads the socket once more before it closes.

Fix: each response that leaves no input held resumes reading.

--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -650,7 +650,7 @@
     /** Writes all current state to a new file, which then replaces the old one atomically. */
     private void rewrite() throws IOException {
         repairNeeded = true;
-        if (!space.hasRoomFor(0, predecessorBytes())) {
+        if (channel != null && !space.hasRoomFor(0, predecessorBytes())) {
             throw new IOException("no space to rewrite the journal beside those of earlier processes");
         }
         FileChannel next = files.open(newFile, StandardOpenOption.CREATE,
--- a/src/main/java/wrenkeel/net/RequestDecoder.java
+++ b/src/main/java/wrenkeel/net/RequestDecoder.java
@@ -43,6 +43,7 @@
     void responseSent(ChannelHandlerContext context) {
         if (actualReadableBytes() == 0) {
             awaitingResponse = false;
+            context.channel().config().setAutoRead(true);
         } else {
             context.executor().schedule(() -> decodeHeld(context), 0, TimeUnit.NANOSECONDS);
         }
--- a/src/test/java/wrenkeel/net/ReceiveBuffersTest.java
+++ b/src/test/java/wrenkeel/net/ReceiveBuffersTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
@@ -23,6 +24,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The memory that clients can make the server use for what they send, and for responses they do not read. */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
@@ -111,6 +114,44 @@
         }
     }
 
+    /**
+     * Guards against requests that are refused for no reason: buffers that are not released would use up the
+     * limit for good.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"nonsense\r\n\r\n", "GET /healthz HTT", "GET /healthz HTTP/1.1\r\nHost: a\r\nX",
+        "GET /healthz HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf",
+        "POST /bill HTTP/1.1\r\nContent-Length: 70000\r\n\r\nhalf",
+        "POST /bill HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 70000\r\n\r\nhalf",
+        "GET /healthz HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\nhalf",
+        "GET /healthz HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n9\r\nhalf",
+        "GET /healthz HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nnonsense\r\n",
+        "GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\nGET /healthz HTTP/1.1\r\n\r\n",
+        "GET /healthz HTTP/1.1\r\n\r\nGET /healthz HTTP/1.1\r\n\r\nGET /he",
+        "GET /healthz HTTP/1.1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nother bytes"})
+    void allBuffersAreReleasedWhenAConnectionEnds(String input) throws Exception {
+        for (boolean refused : new boolean[] {false, true}) {
+            Server server = new Server(new ConnectionLimiter(10), 300, refused ? 0 : BODY_BYTES);
+            try (SocketPair pair = new SocketPair(server)) {
+                pair.send(input);
+                pair.register(eventLoop);
+                eventLoop.submit(() -> SocketReader.readNow(pair.channel)).get();
+                pair.client.close();
+                pair.channel.closeFuture().sync();
+                awaitChannelInactive(pair.channel);
+                assertEquals(0, ((HeapBufferAllocator) pair.channel.alloc()).usedBytes(),
+                    refused ? "refused" : "incomplete");
+            }
+        }
+    }
+
+    /** Waits until the handlers of a closed channel are removed, which follows in later tasks. */
+    private void awaitChannelInactive(Channel channel) throws Exception {
+        while (eventLoop.submit(() -> channel.pipeline().get(SocketReader.class)).get() != null) {
+            Thread.onSpinWait();
+        }
+    }
+
     /** Guards against a heap that tiny header fields fill: each takes far more memory than its bytes. */
     @Test
     void aRequestWithTooManyHeaderFieldsIsRejected() {
--- a/src/test/java/wrenkeel/net/ServerConnectionTest.java
+++ b/src/test/java/wrenkeel/net/ServerConnectionTest.java
@@ -108,6 +108,17 @@
         }
     }
 
+    /** Guards against a connection that is not read any more once requests on it had to wait. */
+    @Test
+    void aRequestAfterSeveralAtOnceIsAnswered() throws Exception {
+        try (var pair = connectAndSend(post("a") + post("b"))) {
+            assertEquals(List.of("202", "202"), pair.readStatuses(2));
+            assertTrue(eventLoop.submit(() -> pair.channel.config().isAutoRead()).get());
+            pair.client.getOutputStream().write(post("c").getBytes(StandardCharsets.US_ASCII));
+            assertEquals("202", pair.readStatus());
+        }
+    }
+
     /**
      * Guards against a lost message: an error that closes the connection must not cut off the response before
      * it.
--- a/src/test/java/wrenkeel/net/SharedStateFolderTest.java
+++ b/src/test/java/wrenkeel/net/SharedStateFolderTest.java
@@ -229,6 +229,21 @@
             "the first was not sent, as it could not be recorded");
     }
 
+    /** Guards against a refused start: processes that are killed as they start leave files behind. */
+    @Test
+    void aProcessStartsBesideTheFilesOfManyThatWereKilled() throws IOException {
+        Journal first = start();
+        accept(first);
+        end(first);
+        for (int kills = 0; kills < 30; kills++) {
+            end(start());
+        }
+        Journal last = start();
+        last.adopt(entry -> { });
+        assertEquals(open, idsIn(last));
+        assertNotNull(accept(last));
+    }
+
     private void clear() throws IOException {
         open.clear();
         undecided = null;
