--- a/review/lib-2/MovedThenReplaced.java
+++ b/review/lib-2/MovedThenReplaced.java
@@ -28,7 +28,9 @@
     private Endpoint.Answer answer(Endpoint.Call call) throws InterruptedException {
         String id = call.ids.get(0);
         Thread.sleep(40);
-        if (Integer.parseInt(id.substring(id.length() - 2), 16) % 4 == 3) {
+        boolean full = Integer.parseInt(id.substring(id.length() - 2), 16) % 4 == 3;
+        note("call at the endpoint: " + id + (full ? ", answered 503" : ", runs, answered 200"));
+        if (full) {
             return Endpoint.Answer.of("503 Service Unavailable", "", "");
         }
         delivered.add(id);
--- a/review/lib-2/Play.java
+++ b/review/lib-2/Play.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -116,14 +117,18 @@
         }
     }
 
-    /** A loopback port that is free now. */
-    final int freePort() throws IOException {
-        while (true) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+    /** A loopback port that is free now, below the ports that outgoing connections get. */
+    final int freePort() throws CannotRun {
+        for (int tries = 0; tries < 1_000; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(21_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
                 if (ports.add(socket.getLocalPort())) {
-                    return socket.getLocalPort();
+                    return port;
                 }
+            } catch (IOException e) {
+                // The port is in use.
             }
         }
+        throw new CannotRun("no free port");
     }
 }
