Let a refusal count only when its response has been read to its end

Cause: HostPool ended an attempt at the head of its response. FULL and NOT_SENT allow another attempt whatever the class; that the body could not be read came too late to matter. A response without a length that was reset was taken for complete as well.

Why this works: an attempt ends at the end of the response; only a status of 200 for a single message counts at the head, as the protocol says. A connection that ends before makes RESET of a promise that nothing has run. On the way the call of a response 500 without end is no longer still open when the message is sent again. A Retry-After is applied at the head, also that of a batch whose body is cut, as it was for single messages before.

--- a/src/main/java/wrenkeel/net/ControlDriver.java
+++ b/src/main/java/wrenkeel/net/ControlDriver.java
@@ -695,7 +695,7 @@
         }
         TRACE.debug("{} attempt {} to {}", send.id(), attempt, host.name);
         HostPool.Attempt hostAttempt = new HostPool.Attempt(tracked.message, send.timeout(),
-            reply -> attemptEnded(tracked, attempt, host, reply));
+            new AttemptObserver(tracked, attempt, host));
         tracked.attempts.set(attempt, hostAttempt);
         if (!batches.computeIfAbsent(host, key -> new CallBatch())
                 .hasRoomFor(tracked.message, settings.kinds().get(host.kind).maxMessagesPerCall())) {
@@ -763,6 +763,32 @@
         pool.startCall(host, batches.remove(host).attempts());
     }
 
+    /** Handles the response to one attempt. */
+    private final class AttemptObserver implements HostPool.AttemptListener {
+        private final TrackedMessage tracked;
+        private final int attempt;
+        private final HostList.Host host;
+
+        AttemptObserver(TrackedMessage tracked, int attempt, HostList.Host host) {
+            this.tracked = tracked;
+            this.attempt = attempt;
+            this.host = host;
+        }
+
+        @Override
+        public void ended(HostPool.Reply reply) {
+            attemptEnded(tracked, attempt, host, reply);
+        }
+
+        @Override
+        public void retryAfterReceived(long micros) {
+            if (!stopped) {
+                applyWait(host, micros);
+                enqueue(Relay.EndpointSnapshot.ofWait(host.id, moduleNow() + micros));
+            }
+        }
+    }
+
     /** Handles the outcome of an attempt: the message's end, a wait that the host asks for, the event. */
     private void attemptEnded(TrackedMessage tracked, int attempt, HostList.Host host, HostPool.Reply reply) {
         if (stopped) {
@@ -772,11 +798,7 @@
         TRACE.debug("{} attempt {} to {} ended: {} after {} us", tracked.message.id(), attempt, host.name,
             reply.outcome(), reply.latencyMicros());
         if (reply.retryAfterMicros() > 0) {
-            persistWait(host, reply.retryAfterMicros());
-            sendGuard.recordWait(host, hasIndependentEndpoints(host), moduleNow(), reply.retryAfterMicros());
-            // Calls that still wait for a connection to where the wait applies must not be sent.
-            (hasIndependentEndpoints(host) ? List.of(host) : hosts.hostsOf(host.destination))
-                .forEach(pool::cancelUnsent);
+            applyWait(host, reply.retryAfterMicros());
         }
         boolean ended = tracked.ended || reply.messageOver();
         if (!tracked.ended) {
@@ -800,6 +822,15 @@
         removeWhenDone(tracked);
     }
 
+    /** Lets nothing be sent any more to where a wait that a host asks for applies. */
+    private void applyWait(HostList.Host host, long waitMicros) {
+        persistWait(host, waitMicros);
+        sendGuard.recordWait(host, hasIndependentEndpoints(host), moduleNow(), waitMicros);
+        // Calls that still wait for a connection must not be sent.
+        (hasIndependentEndpoints(host) ? List.of(host) : hosts.hostsOf(host.destination))
+            .forEach(pool::cancelUnsent);
+    }
+
     /** Records a wait that a host asks for during the handover: it binds the next process too. */
     private void persistWait(HostList.Host host, long waitMicros) {
         if (handingOver) {
--- a/src/main/java/wrenkeel/net/HostPool.java
+++ b/src/main/java/wrenkeel/net/HostPool.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -35,7 +36,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import org.slf4j.Logger;
@@ -53,7 +53,10 @@
     private static final long IDLE_MARGIN_MS = 1_000;
     /** Interval at which stale and stuck connections are closed. */
     private static final long SWEEP_INTERVAL_MS = 250;
-    /** Time after its head within which a response must be complete; then the connection is closed. */
+    /**
+     * Time after its head within which a response must be complete; then the connection is closed, and an
+     * attempt that still waits for the response may have run.
+     */
     private static final long MAX_RESPONSE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /**
@@ -68,24 +71,37 @@
     record Reply(Outcome outcome, boolean messageOver, long retryAfterMicros, long latencyMicros,
                  double remainingShare, double rateLimitPerSecond) { }
 
+    /** Is notified of the response to an attempt. */
+    @FunctionalInterface
+    interface AttemptListener {
+        /** Receives the result, exactly once. */
+        void ended(Reply reply);
+
+        /**
+         * The head of the response asks not to call the host for this long, in microseconds. That holds even
+         * if the response turns out to be incomplete; if it is complete, the result repeats it.
+         */
+        default void retryAfterReceived(long micros) { }
+    }
+
     /** One attempt to deliver a message, from its creation until its reply. */
     static final class Attempt {
         private final Message message;
         private final long timeoutMicros;
-        private final Consumer<Reply> onReply;
+        private final AttemptListener listener;
         private final long startNanos = System.nanoTime();
         private Future<?> timeout;
         private Call call;
         private boolean ended;
 
         /**
-         * {@code onReply} is called exactly once, at the latest {@code timeoutMicros} after the attempt has
-         * been passed to {@link #startCall}.
+         * The listener is notified of the end exactly once, at the latest {@code timeoutMicros} after the
+         * attempt has been passed to {@link #startCall}.
          */
-        Attempt(Message message, long timeoutMicros, Consumer<Reply> onReply) {
+        Attempt(Message message, long timeoutMicros, AttemptListener listener) {
             this.message = message;
             this.timeoutMicros = timeoutMicros;
-            this.onReply = onReply;
+            this.listener = listener;
         }
 
         Message message() {
@@ -118,7 +134,7 @@
                 if (call != null && call.hasEnded() && call.channel != null) {
                     call.channel.close();
                 }
-                onReply.accept(replyFor(outcome));
+                listener.ended(replyFor(outcome));
             }
         }
 
@@ -129,7 +145,7 @@
         private void end(Reply reply) {
             if (!ended) {
                 markEnded();
-                onReply.accept(reply);
+                listener.ended(reply);
             }
         }
 
@@ -202,6 +218,12 @@
             attempts.forEach(attempt -> attempt.end(outcome));
         }
 
+        /** Notifies the attempts that still wait of a Retry-After in the head of the response. */
+        void announceRetryAfter(long micros) {
+            attempts.stream().filter(attempt -> !attempt.ended)
+                .forEach(attempt -> attempt.listener.retryAfterReceived(micros));
+        }
+
         FullHttpRequest request() {
             return CallRequest.encode(host.address, attempts.stream().map(Attempt::message).toList(),
                 remainingMillis());
@@ -519,9 +541,8 @@
         connectionsByHost.values().removeIf(connections -> connections.open.isEmpty()
             && connections.unsent.isEmpty() && connections.reuseGuard.allowsReuse(nanoClock.getAsLong()));
         for (HostConnections connections : connectionsByHost.values()) {
-            // A response that never ends would hold its file descriptor although its call has ended.
-            List.copyOf(connections.open).stream().filter(Connection::isStuck)
-                .forEach(connection -> connection.channel.close());
+            // A response that never ends would hold its file descriptor.
+            List.copyOf(connections.open).stream().filter(Connection::isStuck).forEach(Connection::abort);
             while (!connections.idle.isEmpty() && connections.idle.peekFirst().isStale()) {
                 connections.idle.pollFirst().channel.close();
             }
@@ -529,9 +550,9 @@
     }
 
     /**
-     * One connection. The result of a single message is reported when the head of the response has arrived;
-     * those of a batch when its body is complete, as the body names a state for each message. The connection
-     * becomes idle when the response is complete.
+     * One connection. The delivery of a single message is reported when the head of the response has arrived,
+     * and any other result when the response is complete: a response that cannot be read to its end proves
+     * nothing, so the message may have run. The connection becomes idle when the response is complete.
      */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final ResponseDecoder decoder = new ResponseDecoder(this::onStatusLine, this::onSurplus);
@@ -543,8 +564,10 @@
         private boolean reusable = true;
         private long headReceivedNanos;
         private long idleSinceNanos;
-        /** The head of the response to a batch. */
-        private HttpResponse batchHead;
+        /** The head of a response whose results are not reported yet; null if there is none. */
+        private HttpResponse pendingHead;
+        /** The connection was ended by an I/O error or by this side, so a response on it is not complete. */
+        private boolean aborted;
         /** The part of a batch response's body received so far; null while none is being read. */
         private ByteArrayOutputStream batchBody;
 
@@ -599,6 +622,7 @@
             // These ended while the connection was being established; they were reported as never sent.
             next.attempts.removeIf(attempt -> attempt.ended);
             next.writeBegun = true;
+            pendingHead = null;
             batchBody = null;
             connections.unsent.remove(next);
             if (!next.host.ready) {
@@ -614,15 +638,24 @@
                 if (done.isSuccess()) {
                     metrics.countUpstreamRequests(messages);
                 } else {
-                    channel.close();
+                    abort();
                 }
             });
         }
 
+        /** Closes the connection; a response that is not complete by now does not become complete. */
+        private void abort() {
+            aborted = true;
+            channel.close();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             if (part.decoderResult().isFailure() || call == null) {
-                channel.close();
+                abort();
+                return;
+            }
+            if (aborted) {
                 return;
             }
             if (part instanceof HttpResponse head
@@ -633,7 +666,11 @@
                 handleHead(head);
             }
             if (part instanceof HttpContent content && batchBody != null) {
-                handleBatchBody(content);
+                byte[] bytes = ByteBufUtil.getBytes(content.content());
+                batchBody.write(bytes, 0, bytes.length);
+            }
+            if (part instanceof LastHttpContent && pendingHead != null) {
+                reportResults();
             }
             if (part instanceof LastHttpContent && headReceived && channel.isActive()) {
                 call = null;
@@ -650,28 +687,52 @@
             }
         }
 
-        /** Reports the results of a call, unless those are in the body of the response. */
+        /** Reports the delivery of a single message; all other results wait for the end of the response. */
         private void handleHead(HttpResponse head) {
-            if (call.isBatch() && head.status().code() == 200) {
-                batchHead = head;
-                batchBody = new ByteArrayOutputStream();
-            } else {
+            if (call.delivered) {
                 call.attempts.forEach(attempt ->
                     attempt.end(ResponseOutcomes.reply(head, attempt.latencyMicros())));
                 scheduleDispatch();
+                return;
+            }
+            pendingHead = head;
+            batchBody = isBatchSuccess(head) ? new ByteArrayOutputStream() : null;
+            long retryAfterMicros = ResponseOutcomes.retryAfterMicros(head);
+            if (retryAfterMicros > 0) {
+                call.announceRetryAfter(retryAfterMicros);
+            }
+        }
+
+        /** True if the body of the response names a state for each message of the call. */
+        private boolean isBatchSuccess(HttpResponse head) {
+            return call.isBatch() && head.status().code() == HttpResponseStatus.OK.code();
+        }
+
+        /** Reports the results of a call whose response is complete. */
+        private void reportResults() {
+            HttpResponse head = pendingHead;
+            pendingHead = null;
+            if (batchBody == null) {
+                call.attempts.forEach(attempt ->
+                    attempt.end(ResponseOutcomes.reply(head, attempt.latencyMicros())));
+                return;
             }
+            Map<String, String> states = ResponseOutcomes.messageStates(batchBody.toByteArray());
+            batchBody = null;
+            call.attempts.forEach(attempt -> attempt.end(ResponseOutcomes.reply(head,
+                states.get(attempt.message.id()), attempt.latencyMicros())));
         }
 
-        /** Collects the body of a batch response, and reports the results at its end. */
-        private void handleBatchBody(HttpContent content) {
-            byte[] bytes = ByteBufUtil.getBytes(content.content());
-            batchBody.write(bytes, 0, bytes.length);
-            if (content instanceof LastHttpContent) {
-                Map<String, String> states = ResponseOutcomes.messageStates(batchBody.toByteArray());
-                call.attempts.forEach(attempt -> attempt.end(ResponseOutcomes.reply(batchHead,
-                    states.get(attempt.message.id()), attempt.latencyMicros())));
-                batchBody = null;
+        /** The outcome of the call's attempts if the connection ends now. */
+        private Outcome outcomeOfClose() {
+            if (!call.written) {
+                return Outcome.CONNECT_FAILED;
+            }
+            if (pendingHead == null || isBatchSuccess(pendingHead)) {
+                return Outcome.RESET;
             }
+            Outcome announced = ResponseOutcomes.reply(pendingHead, 0).outcome();
+            return announced.provesNotExecuted() ? Outcome.RESET : announced;
         }
 
         @Override
@@ -682,7 +743,7 @@
                 idleOldestFirst.remove(this);
             }
             if (call != null) {
-                call.end(call.written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+                call.end(outcomeOfClose());
                 call = null;
             }
         }
@@ -692,7 +753,7 @@
             if (!(cause instanceof IOException)) {
                 LOG.error("connection to a host closed after an unexpected exception", cause);
             }
-            context.close();
+            abort();
         }
     }
 }
--- a/src/main/java/wrenkeel/net/ResponseOutcomes.java
+++ b/src/main/java/wrenkeel/net/ResponseOutcomes.java
@@ -18,9 +18,15 @@
      */
     private static final String CONTRADICTORY_STATE = "contradicted";
 
+    /** Header of a refusal by the platform: the call was not sent because the relay's slots were taken. */
+    private static final String NO_SLOT = "X-No-Slot";
+
     private ResponseOutcomes() { }
 
-    /** The result of a call by the head of its response, unless it is a batch with status 200. */
+    /**
+     * The result of a call by the head of its response, unless it is a batch with status 200. It counts only
+     * once the response is complete, but for a status of 200.
+     */
     static HostPool.Reply reply(HttpResponse response, long latencyMicros) {
         long retryAfterMicros = 0;
         boolean messageOver = false;
@@ -31,9 +37,8 @@
                 messageOver = true;
             }
             case 429, 503 -> {
-                outcome = response.headers().contains("X-No-Slot") ? Outcome.NOT_SENT : Outcome.FULL;
-                retryAfterMicros = outcome == Outcome.FULL
-                    ? secondsToMicros(response.headers().get(HttpHeaderNames.RETRY_AFTER)) : 0;
+                outcome = response.headers().contains(NO_SLOT) ? Outcome.NOT_SENT : Outcome.FULL;
+                retryAfterMicros = retryAfterMicros(response);
             }
             case 504 -> outcome = Outcome.NOT_SENT;
             case 410 -> {
@@ -58,7 +63,18 @@
             default -> Outcome.ERROR;
         };
         return reply(response, outcome, outcome == Outcome.OK || "expired".equals(state),
-            secondsToMicros(response.headers().get(HttpHeaderNames.RETRY_AFTER)), latencyMicros);
+            retryAfterMicros(response), latencyMicros);
+    }
+
+    /**
+     * How long the head of a response asks not to call its host, in microseconds; 0 if it doesn't ask. Only
+     * refusals and responses to batches can ask for that.
+     */
+    static long retryAfterMicros(HttpResponse response) {
+        int status = response.status().code();
+        boolean refused = (status == 429 || status == 503) && !response.headers().contains(NO_SLOT);
+        return refused || status == 200
+            ? secondsToMicros(response.headers().get(HttpHeaderNames.RETRY_AFTER)) : 0;
     }
 
     /**
--- a/src/test/java/wrenkeel/net/ControlDriverTest.java
+++ b/src/test/java/wrenkeel/net/ControlDriverTest.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The driver of the decision module, on real sockets and with a scripted host. Everything that one task
@@ -210,11 +212,12 @@
 
     /**
      * Guards the observance of Retry-After: the thread pauses after it has polled its sockets, and a response
-     * with Retry-After arrives during the pause. What is decided after the pause must take that response into
-     * account.
+     * with Retry-After arrives during the pause, perhaps without its body. What is decided after the pause
+     * must take that response into account.
      */
-    @Test
-    void retryAfterThatArrivesDuringAPauseIsReadBeforeSending() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5})
+    void retryAfterThatArrivesDuringAPauseIsReadBeforeSending(int missingBodyBytes) throws Exception {
         deliverInSequence(4);
         // Leaves two connections idle, so that neither of the later calls has to wait for one.
         inOneIteration(() -> {
@@ -231,10 +234,15 @@
         StubHost.Call first = host.nextCall();
         inOneIteration(() -> {
             driver.accept(message("b"), callback("b"));
-            first.respond("HTTP/1.1 429 No\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n");
+            first.respond("HTTP/1.1 429 No\r\nRetry-After: 30\r\nContent-Length: " + missingBodyBytes
+                + "\r\n\r\n");
         });
         awaitQueuedTasks();
         assertFalse(isRecordedAsSent("b"));
+        // Later turns know of the wait as well.
+        inOneIteration(() -> driver.accept(message("c"), callback("c")));
+        awaitQueuedTasks();
+        assertFalse(isRecordedAsSent("c"));
     }
 
     /** Reads a request for the list and responds with this list. */
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -121,6 +121,92 @@
         }
     }
 
+    /**
+     * Guards against a second execution of a message that may not be repeated: a response that promises that
+     * it has not run proves that only if it can be read to its end.
+     */
+    @ParameterizedTest
+    @CsvSource({"503, '', RESET", "429, Retry-After: 0.283, RESET", "504, '', RESET", "410, '', RESET",
+        "503, X-No-Slot: 1, RESET", "500, '', ERROR"})
+    void refusalCutInItsBodyDoesNotProveThatTheMessageHasNotRun(int status, String header, Outcome outcome)
+            throws Exception {
+        String chunked = "Transfer-Encoding: chunked\r\n\r\n";
+        for (String framing : List.of("Content-Length: 64\r\n\r\nthe rest is mi",
+                chunked + "5\r\nthe r\r\n", chunked + "zz\r\n")) {
+            try (StubHost host = new StubHost()) {
+                startCall(newPool(KEEP_ALIVE_MICROS), host.port(), LONG_MICROS, 10);
+                StubHost.Call call = host.nextCall();
+                call.respond("HTTP/1.1 " + status + " x\r\n" + (header.isEmpty() ? "" : header + "\r\n")
+                    + framing);
+                call.socket().shutdownOutput();
+                HostPool.Reply reply = awaitReply();
+                assertEquals(outcome, reply.outcome(), framing);
+                assertFalse(reply.messageOver(), framing);
+            }
+        }
+    }
+
+    /** Guards against a second execution: neither a refusal without end nor one that is reset is proof. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 64\r\n", "Connection: close\r\n"})
+    void refusalThatIsResetOrNeverEndsDoesNotProveThatTheMessageHasNotRun(String framing) throws Exception {
+        for (boolean reset : List.of(true, false)) {
+            try (StubHost host = new StubHost()) {
+                startCall(newPool(KEEP_ALIVE_MICROS), host.port(), LONG_MICROS, 10);
+                StubHost.Call call = host.nextCall();
+                call.respond("HTTP/1.1 503 x\r\n" + framing + "\r\nthe rest is mi");
+                if (reset) {
+                    call.socket().setSoLinger(true, 0);
+                    call.socket().close();
+                }
+                assertEquals(Outcome.RESET, awaitReply().outcome());
+            }
+        }
+    }
+
+    /** A response without a length ends with its connection, and is then complete. */
+    @Test
+    void refusalThatEndsWithItsConnectionCounts() throws Exception {
+        try (StubHost host = new StubHost()) {
+            startCall(newPool(KEEP_ALIVE_MICROS), host.port(), LONG_MICROS, 10);
+            StubHost.Call call = host.nextCall();
+            call.respond("HTTP/1.1 503 x\r\nConnection: close\r\n\r\nfull");
+            call.socket().shutdownOutput();
+            assertEquals(Outcome.FULL, awaitReply().outcome());
+        }
+    }
+
+    /** Guards a wait that the host asks for: it binds from the head on, whatever becomes of the body. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void retryAfterIsAnnouncedAtTheHeadOfTheResponse(int messages) throws Exception {
+        BlockingQueue<Long> waits = new LinkedBlockingQueue<>();
+        try (StubHost host = new StubHost()) {
+            HostPool.Attempt[] attempts = new HostPool.Attempt[messages];
+            for (int i = 0; i < messages; i++) {
+                Message message = new Message("m" + i, "bill", 0, null, null, 7, 0, new byte[2]);
+                attempts[i] = new HostPool.Attempt(message, LONG_MICROS, new HostPool.AttemptListener() {
+                    @Override
+                    public void ended(HostPool.Reply reply) {
+                        replies.add(reply);
+                    }
+
+                    @Override
+                    public void retryAfterReceived(long micros) {
+                        waits.add(micros);
+                    }
+                });
+            }
+            startCall(newPool(KEEP_ALIVE_MICROS), host.port(), attempts);
+            host.nextCall().respond("HTTP/1.1 " + (messages == 1 ? 429 : 200)
+                + " x\r\nRetry-After: 0.283\r\nContent-Length: 64\r\n\r\n");
+            for (int i = 0; i < messages; i++) {
+                assertEquals(283_000, waits.poll(Platform.TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            }
+            assertTrue(replies.isEmpty(), "the response is not complete");
+        }
+    }
+
     /**
      * Guards the number of file descriptors: at the limit, an idle connection is closed before one to another
      * host is opened.
