Give the next request on a kept connection its whole time from its first byte

Cause: RequestDeadline started the 2.6 s for a whole request with the previous response, and the first byte of the next request did not start them anew. The rest between two requests, which may be 2 s, was taken off the time to write one.

Evidence: RequestDeadlineTest on its own clock: after a rest of 1.95 s the channel is closed in the middle of a request that pauses for 2.4 s.

Why this works: RequestDecoder reports the first byte of a request, and the timer starts then, once for each request and only after a response. A new connection still has 2.6 s in all, and a peer that trickles bytes is closed no later.

--- a/src/main/java/wrenkeel/net/RequestDeadline.java
+++ b/src/main/java/wrenkeel/net/RequestDeadline.java
@@ -9,14 +9,17 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Closes a connection that has sent no whole request within a timeout, counted from connecting or from the
- * last response, and notifies the {@link ConnectionLimiter} of connections and requests. Single bytes do not
- * extend the timeout: a peer that trickles bytes occupies a file descriptor just as a silent one does.
+ * Closes a connection that has sent no whole request within a timeout, and notifies the
+ * {@link ConnectionLimiter} of connections and requests. The timeout counts from connecting or from the last
+ * response; after a response, it counts anew from the first byte of the next request. Further bytes do not
+ * extend it: a peer that trickles bytes occupies a file descriptor just as a silent one does.
  */
 final class RequestDeadline extends ChannelDuplexHandler {
     private final ConnectionLimiter connections;
     private final long timeoutMillis;
     private Future<?> timer;
+    /** A response has been written and no byte of the next request has been read since. */
+    private boolean resting;
 
     RequestDeadline(ConnectionLimiter connections, long timeoutMillis) {
         this.connections = connections;
@@ -39,10 +42,19 @@
         context.fireChannelRead(message);
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event == RequestDecoder.RequestStarted.INSTANCE && resting) {
+            startTimer(context);
+        }
+        context.fireUserEventTriggered(event);
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         if (message instanceof LastHttpContent) {
             startTimer(context);
+            resting = !isWithinRequest(context);
         }
         context.write(message, promise);
     }
@@ -56,10 +68,9 @@
 
     private void startTimer(ChannelHandlerContext context) {
         stopTimer();
+        resting = false;
         connections.awaitingRequest(context.channel());
-        RequestDecoder decoder = context.pipeline().get(RequestDecoder.class);
-        if (decoder != null && decoder.isWithinRequest()) {
-            // Part of the next request has arrived together with the previous one.
+        if (isWithinRequest(context)) {
             connections.bytesReceived(context.channel());
         }
         if (context.channel().isActive()) {
@@ -67,6 +78,12 @@
         }
     }
 
+    /** True if part of the next request has been read, perhaps together with the previous one. */
+    private static boolean isWithinRequest(ChannelHandlerContext context) {
+        RequestDecoder decoder = context.pipeline().get(RequestDecoder.class);
+        return decoder != null && decoder.isWithinRequest();
+    }
+
     /**
      * Closes the connection if no whole request has arrived. Reads the socket first, since the request may
      * have arrived while the thread was busy.
--- a/src/main/java/wrenkeel/net/RequestDecoder.java
+++ b/src/main/java/wrenkeel/net/RequestDecoder.java
@@ -21,6 +21,11 @@
     /** Most header fields of a request: a field takes far more memory than its few bytes. */
     static final int MAX_HEADER_FIELDS = 100;
 
+    /** User event: the first byte of a request has been read. */
+    enum RequestStarted {
+        INSTANCE
+    }
+
     private boolean withinRequest;
     /** A whole request was decoded, and its response is not sent yet. */
     private boolean awaitingResponse;
@@ -82,6 +87,10 @@
             context.channel().config().setAutoRead(false);
             return;
         }
+        if (!withinRequest) {
+            withinRequest = true;
+            context.fireUserEventTriggered(RequestStarted.INSTANCE);
+        }
         super.decode(context, bytes, decoded);
         int last = decoded.size() - 1;
         awaitingResponse = last >= 0 && decoded.get(last) instanceof LastHttpContent;
--- a/src/test/java/wrenkeel/net/RequestDeadlineTest.java
+++ b/src/test/java/wrenkeel/net/RequestDeadlineTest.java
@@ -99,6 +99,73 @@
         assertFalse(channel.isOpen());
     }
 
+    /** Reads a whole request on the connection and responds to it. */
+    private static void exchange(EmbeddedChannel channel) {
+        channel.writeInbound(bytes(MESSAGE_REQUEST));
+        FullHttpRequest request = channel.readInbound();
+        request.release();
+        channel.writeOutbound(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.ACCEPTED));
+    }
+
+    /**
+     * Guards against a lost message: the rest between two requests, which may be 2 s, must not be taken off
+     * the time to write the second one.
+     */
+    @Test
+    void aRequestAfterARestHasItsWholeTimeFromItsFirstByte() {
+        EmbeddedChannel channel = newChannel();
+        for (int i = 0; i < 3; i++) {
+            exchange(channel);
+            advance(channel, 1_950);
+            channel.writeInbound(bytes(MESSAGE_REQUEST.substring(0, 10)));
+            advance(channel, 2_400);
+            channel.writeInbound(bytes(MESSAGE_REQUEST.substring(10)));
+            FullHttpRequest request = channel.readInbound();
+            assertNotNull(request, "request " + i);
+            request.release();
+            channel.writeOutbound(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.ACCEPTED));
+        }
+    }
+
+    /** Guards the file descriptors: only the first byte of a request starts its time. */
+    @Test
+    void aPeerThatSendsItsSecondRequestByteByByteIsClosedNoLater() {
+        EmbeddedChannel channel = newChannel();
+        exchange(channel);
+        advance(channel, 1_500);
+        for (int i = 0; i < MAX_REQUEST_SECONDS * 4 && channel.isOpen(); i++) {
+            channel.writeInbound(bytes(MESSAGE_REQUEST.substring(i, i + 1)));
+            advance(channel, 250);
+        }
+        assertFalse(channel.isOpen());
+    }
+
+    /**
+     * Guards against a lost message: the first byte of the next request may be unread in the socket when the
+     * rest after a response is over.
+     */
+    @Test
+    void aRequestWhoseFirstByteIsUnreadAtTheEndOfTheRestIsServed() throws Exception {
+        var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop eventLoop = group.next();
+        try (SocketPair pair = new SocketPair(new Server(new ConnectionLimiter(10)))) {
+            pair.send(HEALTH_REQUEST);
+            pair.register(eventLoop);
+            assertEquals("200", pair.readStatus());
+            eventLoop.submit(() -> {
+                pair.send(HEALTH_REQUEST.substring(0, 1));
+                expire(pair);
+                return null;
+            }).get();
+            pair.client.getOutputStream()
+                .write(HEALTH_REQUEST.substring(1).getBytes(StandardCharsets.US_ASCII));
+            assertEquals("200", pair.readStatus());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+
     /**
      * Guards against a lost message: its last byte may arrive while the thread is busy, just before the
      * deadline.
