Reject a reloaded file in which a class or a tenant lacks a key

Cause: Config.requireSameKeys compared objects within objects and left out the elements of arrays, so no key of a class or a tenant was compared; Wire.settings then read a missing or misspelt group as all, the wider scope.

Why this works: ConfigKeys compares the objects of an array by name; a new one must have the keys that all those in force have. group and window belong to classes whose repeats are dropped, so that a class may still change its effect. At a start there is nothing to compare with: a class without group is repeated within a zone only, which is allowed either way, and an unknown group is an error.

The configurations of tests, of the scale tool and of the class archive name the group now, as the settings' page lists it.

--- a/deploy/Training.java
+++ b/deploy/Training.java
@@ -36,7 +36,7 @@
            "open-cap":60,"retry-after":true,"max-retry-after":2000},
           "family-info":{"call-slots":8,"kind-apart":[false],"bundle-max":[20]},
           "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":2000,"cold-from":0.2,"cold":10000},
-          "profiles":[{"name":"c","aim":1000,"hard-limit":2000,"semantics":"dedup","window":7500,"late-worth":0.5}]}}
+          "profiles":[{"name":"c","aim":1000,"hard-limit":2000,"semantics":"dedup","group":"all","window":7500,"late-worth":0.5}]}}
         """;
     private static final Pattern SERVING = Pattern.compile("serving on \\S*:(\\d+)"),
         CONSOLE = Pattern.compile("operators at \\S*:(\\d+)"),
--- a/src/main/java/wrenkeel/Wire.java
+++ b/src/main/java/wrenkeel/Wire.java
@@ -264,11 +264,11 @@
         int maxAttempts = (int) allowed.longValue("most-tries", 1);
         List<Relay.MessageClass> classes = new ArrayList<>();
         for (Fields profile : fields.objects("profiles")) {
+            Relay.Effect effect = effect(profile.text("semantics"));
             classes.add(new Relay.MessageClass(profile.text("name", ""), profile.micros("aim"),
                 profile.micros("hard-limit"), profile.doubleValue("worth", 1),
-                profile.doubleValue("late-worth", 0), effect(profile.text("semantics")),
-                profile.text("group", "all").equals("zone"), profile.micros("window", 0),
-                profile.booleanValue("sequential"), maxAttempts));
+                profile.doubleValue("late-worth", 0), effect, dedupPerZone(profile, effect),
+                profile.micros("window", 0), profile.booleanValue("sequential"), maxAttempts));
         }
         List<Relay.Tenant> tenants = new ArrayList<>();
         for (Fields tenant : fields.objects("tenants")) {
@@ -313,6 +313,22 @@
         };
     }
 
+    /**
+     * True if only endpoints of the same zone drop repeats of the class. Without the field that is assumed:
+     * a repeat within a zone is dropped either way.
+     */
+    private static boolean dedupPerZone(Fields profile, Relay.Effect effect) throws MalformedException {
+        if (effect != Relay.Effect.KEYED) {
+            return false;
+        }
+        String group = profile.text("group", "zone");
+        return switch (group) {
+            case "all" -> false;
+            case "zone" -> true;
+            default -> throw new MalformedException("unknown group '" + group + "'");
+        };
+    }
+
     private static Relay.Weights weights(String word) {
         return switch (word) {
             case "nominal" -> Relay.Weights.NOMINAL;
--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -91,15 +91,15 @@
      *
      * <p>The discovery address is taken from the file, because the environment still has the values of the
      * start. The listen and console addresses, the state folder and the seed stay as they are. The file must
-     * have every key that the one in force has. It must not change the kinds or the order of the zones,
-     * because the module knows endpoints by their numbers. It may name further zones; hosts in those keep the
-     * numbers that zones without a name get.
+     * have every key that the one in force has, see {@link ConfigKeys}. It must not change the kinds or the
+     * order of the zones, because the module knows endpoints by their numbers. It may name further zones;
+     * hosts in those keep the numbers that zones without a name get.
      */
     Config reload(Map<String, String> env) throws InvalidConfigException {
         Map<String, String> folders = new HashMap<>(env);
         folders.keySet().retainAll(Set.of("EDGE_CONFIG", "EDGE_STATE"));
         Config next = read(folders);
-        requireSameKeys("", fields, next.fields);
+        ConfigKeys.requireComplete(fields, next.fields);
         int named = Math.min(zones.size(), next.zones.size());
         if (!next.zones.subList(0, named).equals(zones.subList(0, named)) || !next.kinds.equals(kinds)) {
             throw new InvalidConfigException(
@@ -120,28 +120,6 @@
         return DescriptorBudget.of(socketLimit, settings.limits().callSlots());
     }
 
-    /**
-     * Fails if a key of {@code before}, at any depth, is missing in {@code now}. Elements of arrays are not
-     * compared: they may differ in number and form, and are checked when they are read.
-     */
-    private static void requireSameKeys(String path, Wire.Fields before, Wire.Fields now)
-        throws InvalidConfigException {
-        for (Map.Entry<String, Object> entry : before.values().entrySet()) {
-            Object value = now.values().get(entry.getKey());
-            if (value == null && entry.getValue() != null) {
-                throw new InvalidConfigException("configuration lacks '" + path + entry.getKey() + "'");
-            }
-            if (Wire.Fields.of(entry.getValue()) != null) {
-                if (Wire.Fields.of(value) == null) {
-                    throw new InvalidConfigException(
-                        "configuration: '" + path + entry.getKey() + "' is not an object");
-                }
-                requireSameKeys(path + entry.getKey() + ".", Wire.Fields.of(entry.getValue()),
-                    Wire.Fields.of(value));
-            }
-        }
-    }
-
     private static InetSocketAddress optionalAddress(String text) throws InvalidConfigException {
         return text == null ? null : address(text);
     }
--- a/src/main/java/wrenkeel/scale/RelayConfig.java
+++ b/src/main/java/wrenkeel/scale/RelayConfig.java
@@ -97,6 +97,7 @@
             json.writeNumberField("aim", profile.aimMs());
             json.writeNumberField("hard-limit", profile.hardLimitMs());
             json.writeStringField("semantics", profile.semantics());
+            json.writeStringField("group", "all");
             json.writeNumberField("window", profile.windowMs());
             json.writeNumberField("late-worth", 0.5);
             json.writeEndObject();
--- a/src/test/java/wrenkeel/net/ConfigTest.java
+++ b/src/test/java/wrenkeel/net/ConfigTest.java
@@ -160,6 +160,64 @@
         }
     }
 
+    /**
+     * Guards against a second execution, among others: a file that is taken while the relay runs must not
+     * lack a key of a class or a tenant, since the key's default may allow what the file in force forbids.
+     */
+    @Test
+    void aReloadWithoutAKeyOfAClassOrATenantIsRejected() throws Exception {
+        replace("\"profiles\":[",
+            "\"tenants\":[{\"name\":\"t\",\"quota-per-s\":5,\"share\":1}],\"profiles\":[");
+        replace("\"semantics\":\"fragile\"", "\"semantics\":\"fragile\",\"worth\":2,\"late-worth\":0.5,"
+            + "\"sequential\":true,\"stream\":false");
+        replace("\"group\":\"all\"", "\"group\":\"zone\",\"worth\":1");
+        Config inForce = Config.read(platform.environment());
+        Object configuration = Wire.decode(Files.readString(file)).values();
+        List<String> paths = new ArrayList<>();
+        collectPaths(configuration, "", paths);
+        paths.removeIf(path -> !path.matches("/settings/(profiles|tenants)/\\d+/.*"));
+        assertEquals(18, paths.size(), paths.toString());
+        List<String> accepted = new ArrayList<>();
+        for (String path : paths) {
+            for (Object replacement : Arrays.asList(REMOVED, null)) {
+                Files.writeString(file, json(configuration, "", new Change(path, replacement)));
+                try {
+                    inForce.reload(platform.environment());
+                    accepted.add(path + " = " + replacement);
+                } catch (Config.InvalidConfigException e) {
+                    assertTrue(e.getMessage().contains(path.substring(path.lastIndexOf('/') + 1)),
+                        path + ": " + e.getMessage());
+                }
+            }
+        }
+        assertEquals(List.of(), accepted);
+    }
+
+    /** A class may change its effect, be added and be dropped, with the keys that its effect needs. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "{\"name\":\"bill\",\"aim\":2000,\"hard-limit\":16000,\"semantics\":\"fragile\"}",
+        "{\"name\":\"pay\",\"aim\":2000,\"hard-limit\":16000,\"semantics\":\"dedup\",\"group\":\"zone\","
+            + "\"window\":9000}",
+        "{\"name\":\"new\",\"aim\":20,\"hard-limit\":160,\"semantics\":\"retryable\"}"})
+    void aReloadWithOtherCompleteClassesIsAccepted(String messageClass) throws Exception {
+        Config inForce = Config.read(platform.environment());
+        String text = Files.readString(file);
+        Files.writeString(file, text.substring(0, text.indexOf("\"profiles\"")) + "\"profiles\":["
+            + messageClass + "]}}");
+        assertEquals(1, inForce.reload(platform.environment()).settings().classes().size());
+    }
+
+    /** A class whose repeats are dropped must say by whom; a start without that assumes the narrower scope. */
+    @Test
+    void aClassWithoutAGroupIsRepeatedWithinAZoneOnly() throws Exception {
+        replace("\"group\":\"all\",", "");
+        assertTrue(Config.read(platform.environment()).settings().classes().get(0).dedupPerZone());
+        replace("\"semantics\":\"fragile\"",
+            "\"semantics\":\"dedup\",\"window\":9,\"group\":\"everywhere\"");
+        assertRejectedInOneLine();
+    }
+
     /** A start that cannot use its environment prints one line without a stack trace and returns status 2. */
     @Test
     void aStartThatCannotReadOrWritePrintsOneLineAndReturnsTwo() throws IOException {
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -135,7 +135,8 @@
                "open-cap":4,"max-streams":1,"retry-after":true,"max-retry-after":3000},
               "family-info":{"call-slots":8,"kind-apart":[true,true,true],"bundle-max":[1,1,2]},
               "rules":{"stop-sending-within":250,"fall-multiple":2,"tip-after":3000,"cold-from":0.2,"cold":12000},
-              "profiles":[{"name":"bill","aim":2000,"hard-limit":16000,"semantics":"dedup","window":15000},
+              "profiles":[{"name":"bill","aim":2000,"hard-limit":16000,"semantics":"dedup",
+                "group":"all","window":15000},
                {"name":"pay","aim":2000,"hard-limit":16000,"semantics":"fragile"}]}}
             """.formatted(listen, agent.getAddress().getPort(), listJson(1, true, hosts)));
         return Config.read(environment());
