Recognize an id that comes again after its message is over

Callers saw: an id that is submitted again after its message was delivered or given up, after a kill, or at the other process of a replacement is sent again, also of a class that may not be repeated. On real processes, six ids for each form: 6 of 6 run twice after the end, after a kill behind the end, after a kill with a fragile call out, and at the other process; none while the first call is out in the same process, nor after a reset before the answer (table in docs/incidents).

Delivered or open: 202 and not sent. Over and may have run, not retryable: 504.

The price: open messages may take 0.355 of the folder's limit instead of 0.375.

--- a/src/main/java/wrenkeel/net/ControlDriver.java
+++ b/src/main/java/wrenkeel/net/ControlDriver.java
@@ -428,6 +428,9 @@
             callback.accepted();
             return;
         }
+        if (answerRepeated(message, callback)) {
+            return;
+        }
         Refusal refusal = refusal(known);
         if (refusal != null) {
             metrics.countRejected(message.messageClass());
@@ -445,6 +448,39 @@
         enqueue(acceptedEvent(tracked, false, List.of()));
     }
 
+    /**
+     * Answers a message whose id was submitted before and that must not be sent for this request: it was
+     * delivered, an earlier process still holds it, or it is over and must not be repeated although nobody
+     * knows whether it has run. Returns false if it is to be treated as a new message.
+     */
+    private boolean answerRepeated(Message message, AcceptanceCallback callback) {
+        CompletedMessages.Completion completion;
+        try {
+            completion = journal.completion(message.id());
+        } catch (IOException e) {
+            LOG.warn("message {} refused: it is not known whether another process holds it: {}", message.id(),
+                e.toString());
+            metrics.countRejected(message.messageClass());
+            metrics.countRefusal(Refusal.FOLDER_FAILS);
+            callback.refused(RETRY_AFTER_MICROS);
+            return true;
+        }
+        boolean delivered = completion != null && completion.delivered();
+        if (delivered || journal.isOpenElsewhere(message.id())) {
+            TRACE.debug("{} submitted again", message.id());
+            callback.accepted();
+            return true;
+        }
+        if (completion == null
+                || currentClasses.get(message.messageClass()).effect() == Relay.Effect.SAFE) {
+            return false;
+        }
+        TRACE.debug("{} submitted again, and may have run", message.id());
+        metrics.countFailed(message.messageClass());
+        callback.failed();
+        return true;
+    }
+
     /** Returns why a message must be refused before the module sees it; null if it need not be. */
     private Refusal refusal(TrackedMessage sameId) {
         if (sameId != null) {
@@ -802,19 +838,15 @@
         }
         boolean ended = tracked.ended || reply.messageOver();
         if (!tracked.ended) {
+            if (reply.outcome().provesNotExecuted() && reply.outcome() != Relay.Outcome.NOT_JOURNALED) {
+                journalNotRun(tracked, attempt, reply.outcome() == Relay.Outcome.NO_SOCKET);
+            }
             if (reply.messageOver()) {
                 markEnded(tracked);
-                closeEntry(tracked.journalEntry);
-                if (reply.outcome() == Relay.Outcome.OK) {
-                    metrics.countCompleted(tracked.message.messageClass());
-                } else {
-                    // The message's deadline passed before it reached the host.
-                    metrics.countFailed(tracked.message.messageClass());
-                }
-            } else if (reply.outcome().provesNotExecuted()
-                    && reply.outcome() != Relay.Outcome.NOT_JOURNALED) {
-                journalNotRun(tracked, attempt, reply.outcome() == Relay.Outcome.NO_SOCKET);
+                closeAnswered(tracked, reply.outcome() == Relay.Outcome.OK);
             }
+        } else if (reply.outcome() == Relay.Outcome.OK) {
+            journal.noteLateDelivery(tracked.journalEntry);
         }
         enqueue(new Relay.AttemptEnded(tracked.message.id(), attempt, host.id, reply.outcome(), ended,
             reply.retryAfterMicros(), reply.latencyMicros(), reply.remainingShare(),
@@ -943,10 +975,29 @@
         closeEntry(entry);
     }
 
-    /** Records that nothing more is to be done for a message. */
+    /** Counts and closes a message that is over by the answer of an endpoint: delivered, or expired. */
+    private void closeAnswered(TrackedMessage tracked, boolean delivered) {
+        if (delivered) {
+            metrics.countCompleted(tracked.message.messageClass());
+        } else {
+            // The message's deadline passed before it reached the host.
+            metrics.countFailed(tracked.message.messageClass());
+        }
+        closeEntry(tracked.journalEntry, delivered);
+    }
+
+    /** Records that nothing more is to be done for a message that was not delivered. */
     private void closeEntry(Journal.Entry entry) {
+        closeEntry(entry, false);
+    }
+
+    private void closeEntry(Journal.Entry entry, boolean delivered) {
         try {
-            journal.recordClosed(entry);
+            if (delivered) {
+                journal.recordDelivered(entry);
+            } else {
+                journal.recordClosed(entry);
+            }
         } catch (IOException e) {
             journalHealth.writeFailed(
                 "message " + entry.message.id() + " would be recovered again after a restart", e);
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -103,6 +103,11 @@
             this.messageClass = messageClass;
         }
 
+        /** Whether an endpoint may have run the message. */
+        boolean mayHaveRun() {
+            return attempts.stream().anyMatch(attempt -> attempt.mayHaveRun);
+        }
+
         /**
          * Adds an attempt for the records that may be missing: sent as early as the message can have been
          * accepted, to an unknown zone.
@@ -133,6 +138,7 @@
     private final Map<String, EndpointHealth> endpointHealth = new LinkedHashMap<>();
     /** Health from journals of earlier processes that {@link #takeInheritedHealth} has not returned yet. */
     private final Map<String, EndpointHealth> inheritedHealth = new LinkedHashMap<>();
+    private final CompletedMessages completed = new CompletedMessages();
     private FileChannel channel;
     /** A write has failed, so the file must be repaired before the next. */
     private boolean repairNeeded;
@@ -262,6 +268,9 @@
             predecessor.readNewRecords();
         }
         predecessors.forEach(this::inheritHealth);
+        for (PredecessorJournal predecessor : predecessors) {
+            inheritCompletions(predecessor);
+        }
         Set<Long> emptied = new HashSet<>();
         for (PredecessorJournal predecessor : predecessors) {
             adopted.addAll(predecessor.adopted);
@@ -301,6 +310,44 @@
         predecessor.endpointHealth.clear();
     }
 
+    /** Takes over what an earlier process knows of messages that are over, as read since the last call. */
+    private void inheritCompletions(PredecessorJournal predecessor) {
+        RecordedTimes times = predecessor.times(clock);
+        for (CompletedMessages.Completion recorded : predecessor.completions) {
+            CompletedMessages.Completion inherited = new CompletedMessages.Completion(recorded.id(),
+                recorded.delivered(), times.waitUntil(recorded.untilMillis()));
+            completed.add(inherited, clock.millis());
+            predecessor.inheritedCompletions.add(inherited);
+        }
+        predecessor.completions.clear();
+    }
+
+    /**
+     * Returns what is known of a message that is over and that an endpoint has run or may have run, in this
+     * process or an earlier one; null if nothing is.
+     */
+    CompletedMessages.Completion completion(String id) throws IOException {
+        for (PredecessorJournal predecessor : predecessors) {
+            predecessor.readNewRecords();
+            inheritCompletions(predecessor);
+        }
+        return completed.find(id, clock.millis());
+    }
+
+    /** Whether an earlier process still holds an open message of this id. */
+    boolean isOpenElsewhere(String id) {
+        return predecessors.stream().anyMatch(predecessor -> predecessor.holds(id));
+    }
+
+    /** Notes that a message is over, if an endpoint may have run it. */
+    private void noteCompletion(Entry entry, boolean delivered) {
+        if (delivered || entry.mayHaveRun()) {
+            long now = clock.millis();
+            completed.add(new CompletedMessages.Completion(entry.message.id(), delivered,
+                CompletedMessages.retainedUntil(now, entry.message.deadline())), now);
+        }
+    }
+
     /**
      * Returns and forgets the endpoints that earlier processes knew to be out or returning, as read since the
      * last call.
@@ -342,8 +389,8 @@
 
     /**
      * Deletes the files of an earlier process that hold no open message any more. Records first the health of
-     * endpoints, and what that process had adopted from files that still exist, so that it is not adopted
-     * again.
+     * endpoints, the messages that are over, and what that process had adopted from files that still exist,
+     * so that it is not adopted again.
      */
     private void removePredecessor(PredecessorJournal predecessor) throws IOException {
         ByteArrayOutputStream records = new ByteArrayOutputStream();
@@ -353,6 +400,10 @@
         for (Origin origin : predecessor.adopted) {
             records.writeBytes(JournalRecords.adopted(origin));
         }
+        byte[] completions = encodeLatest(predecessor.inheritedCompletions);
+        if (space.hasRoomFor(completions.length, predecessorBytes())) {
+            records.writeBytes(completions);
+        }
         records.writeBytes(
             JournalRecords.record(JournalRecords.PREDECESSOR_EMPTIED, predecessor.number(), o -> { }));
         writeAtEnd(records.toByteArray());
@@ -370,6 +421,9 @@
         source.attempts.stream().filter(attempt -> !attempt.notMade)
             .forEach(attempt -> entry.attempts.add(attempt.withSendTime(times.sendTime(attempt.sentMillis))));
         entry.end = source.end;
+        if (entry.end != null) {
+            noteCompletion(entry, false);
+        }
         ByteArrayOutputStream records = new ByteArrayOutputStream();
         records.writeBytes(JournalRecords.adopted(origin));
         write(entry, records::writeBytes);
@@ -501,13 +555,29 @@
     /** Records the end that was decided for a message; its notice is due from now on. */
     void recordEnd(Entry entry, End end) throws IOException {
         entry.end = end;
+        noteCompletion(entry, false);
         append(JournalRecords.ended(entry.number, end));
     }
 
-    /** Closes a message that was delivered or withdrawn, or whose notice was acknowledged. */
+    /** Closes a message that was delivered. */
+    void recordDelivered(Entry entry) throws IOException {
+        close(entry, true);
+    }
+
+    /** Closes a message that was withdrawn, that expired, or whose notice was acknowledged. */
     void recordClosed(Entry entry) throws IOException {
+        close(entry, false);
+    }
+
+    /** Notes that a message was delivered after it was closed. */
+    void noteLateDelivery(Entry entry) {
+        noteCompletion(entry, true);
+    }
+
+    private void close(Entry entry, boolean delivered) throws IOException {
         removeEntry(entry.number);
-        append(JournalRecords.record(JournalRecords.CLOSED, entry.number, o -> { }));
+        noteCompletion(entry, delivered);
+        append(JournalRecords.closed(entry.number, delivered));
     }
 
     @Override
@@ -615,7 +685,7 @@
             } else if (entries.containsKey(number)) {
                 write(entries.get(number), records::writeBytes);
             } else {
-                records.writeBytes(JournalRecords.record(JournalRecords.CLOSED, number, o -> { }));
+                records.writeBytes(JournalRecords.closed(number, false));
             }
         }
         repairNeeded = true;
@@ -626,6 +696,21 @@
         space.appended(records.size());
     }
 
+    /** Encodes the latest of these messages that are over, the oldest first, as far as there is space. */
+    private byte[] encodeLatest(List<CompletedMessages.Completion> oldestFirst) {
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        long excess = oldestFirst.stream().mapToLong(JournalRecords::completedBytes).sum()
+            - space.maxCompletionBytes();
+        for (CompletedMessages.Completion completion : oldestFirst) {
+            if (excess > 0) {
+                excess -= JournalRecords.completedBytes(completion);
+            } else {
+                records.writeBytes(JournalRecords.completed(completion));
+            }
+        }
+        return records.toByteArray();
+    }
+
     private interface RecordConsumer {
         void accept(byte[] record) throws IOException;
     }
@@ -664,6 +749,7 @@
             for (Origin origin : adopted) {
                 write(next, JournalRecords.adopted(origin));
             }
+            write(next, encodeLatest(completed.oldestFirst()));
             for (Entry entry : entries.values()) {
                 write(entry, record -> write(next, record));
             }
--- a/src/main/java/wrenkeel/net/JournalRecords.java
+++ b/src/main/java/wrenkeel/net/JournalRecords.java
@@ -25,7 +25,7 @@
     /** An attempt: the record of its send and the one of its outcome. */
     private static final int ATTEMPT_BYTES = (HEADER_BYTES + 23) + (HEADER_BYTES + 11);
     /** A message's end: its record and the one that closes the message. */
-    private static final int END_BYTES = (HEADER_BYTES + 18) + (HEADER_BYTES + 9);
+    private static final int END_BYTES = (HEADER_BYTES + 18) + (HEADER_BYTES + 10);
 
     // Types of records. The numbers are stored and must not change.
     /** A message of a release that did not record the message's class. */
@@ -54,6 +54,8 @@
     static final byte NOT_MADE = 12;
     /** The health of an endpoint has changed. */
     static final byte ENDPOINT_HEALTH = 13;
+    /** A message is over that an endpoint has run or may have run. */
+    static final byte COMPLETED = 14;
 
     private JournalRecords() { }
 
@@ -96,6 +98,43 @@
         return new Journal.EndpointHealth(host, health, in.readLong(), in.readDouble());
     }
 
+    /** Encodes that nothing more is to be done for a message, and whether it was delivered. */
+    static byte[] closed(long number, boolean delivered) {
+        try {
+            return record(CLOSED, number, o -> o.writeBoolean(delivered));
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to a byte array failed", e);
+        }
+    }
+
+    /** Decodes whether a closed message was delivered; earlier releases did not record that. */
+    static boolean isDelivered(DataInputStream closedFields) throws IOException {
+        return closedFields.available() > 0 && closedFields.readBoolean();
+    }
+
+    /** Encodes a message that is over. */
+    static byte[] completed(CompletedMessages.Completion completion) {
+        try {
+            return record(COMPLETED, 0, o -> {
+                o.writeUTF(completion.id());
+                o.writeBoolean(completion.delivered());
+                o.writeLong(completion.untilMillis());
+            });
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to a byte array failed", e);
+        }
+    }
+
+    /** Returns the size of the record of a message that is over. */
+    static long completedBytes(CompletedMessages.Completion completion) {
+        return completed(completion).length;
+    }
+
+    /** Decodes the fields of a record of a message that is over. */
+    static CompletedMessages.Completion completion(DataInputStream in) throws IOException {
+        return new CompletedMessages.Completion(in.readUTF(), in.readBoolean(), in.readLong());
+    }
+
     /** Encodes the clocks of the process that writes the file. */
     static byte[] clock(ProcessClock.Reading clock) throws IOException {
         return record(CLOCK, 0, o -> {
--- a/src/main/java/wrenkeel/net/JournalSpace.java
+++ b/src/main/java/wrenkeel/net/JournalSpace.java
@@ -6,16 +6,18 @@
  * <p>One process alone keeps room for a second copy of what is open, which a rewrite of its file or the next
  * process needs. While two processes share the folder, the file of the one that hands over stays until that
  * process has ended, and the other one copies what is open into its own file. So the shares are such that
- * both files and the handover snapshot fit: twice the shares of open messages, of health and of the handover,
- * and the rest for the snapshot. Not thread-safe.
+ * both files and the handover snapshot fit: twice the shares of open messages, of health, of completed
+ * messages and of the handover, and the rest for the snapshot. Not thread-safe.
  */
 final class JournalSpace {
     /** Bytes of the limit that stay unused, because the file system rounds sizes up. */
     private static final long LIMIT_MARGIN_BYTES = 32_768;
     /** Share of the capacity that open messages may reserve. */
-    private static final double OPEN_MESSAGES_SHARE = 0.375;
+    private static final double OPEN_MESSAGES_SHARE = 0.355;
     /** Share of the capacity that the health of endpoints may take. */
     private static final double HEALTH_SHARE = 0.05;
+    /** Share of the capacity that the records of messages that are over may take in a rewritten file. */
+    private static final double COMPLETIONS_SHARE = 0.02;
     /** Share of the capacity that a process may reserve in addition while it hands over. */
     private static final double HANDOVER_SHARE = 0.05;
     /** Largest share of the capacity that the handover snapshot may take. */
@@ -73,6 +75,11 @@
         return healthBytes + bytes <= capacityBytes * HEALTH_SHARE;
     }
 
+    /** Returns how many bytes the records of messages that are over may take in a file. */
+    long maxCompletionBytes() {
+        return (long) (capacityBytes * COMPLETIONS_SHARE);
+    }
+
     /** The process begins to hand over: its file is not rewritten any more. */
     void beginHandover() {
         handingOver = true;
@@ -90,7 +97,7 @@
      * @param othersBytes bytes that the files of earlier processes take
      */
     long maxSnapshotBytes(long othersBytes) {
-        long copies = 2 * (handoverLimitBytes + healthBytes);
+        long copies = 2 * (handoverLimitBytes + healthBytes + maxCompletionBytes());
         long most = (long) (capacityBytes * MAX_SNAPSHOT_SHARE);
         return Math.max(0, Math.min(most, capacityBytes - othersBytes - copies));
     }
@@ -116,7 +123,8 @@
      * @param othersBytes bytes that the files of earlier processes take
      */
     boolean hasRoomFor(long bytes, long othersBytes) {
-        return othersBytes + fileBytes + bytes + reservedBytes + healthBytes <= capacityBytes;
+        return othersBytes + fileBytes + bytes + reservedBytes + healthBytes + maxCompletionBytes()
+            <= capacityBytes;
     }
 
     /** Whether the file has grown enough to be rewritten, and the new file fits beside the old one. */
--- a/src/main/java/wrenkeel/net/PredecessorJournal.java
+++ b/src/main/java/wrenkeel/net/PredecessorJournal.java
@@ -4,9 +4,11 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
@@ -36,6 +38,10 @@
     final Map<String, Long> waits = new HashMap<>();
     /** Health of endpoints that is not inherited yet. */
     final Map<String, Journal.EndpointHealth> endpointHealth = new LinkedHashMap<>();
+    /** Messages that are over and may have run, and that are not inherited yet; times by its clock. */
+    final List<CompletedMessages.Completion> completions = new ArrayList<>();
+    /** Those that are inherited, with times by this process's clock; the oldest first. */
+    final List<CompletedMessages.Completion> inheritedCompletions = new ArrayList<>();
     /** Null in a journal of a release that did not record its clocks. */
     private ProcessClock.Reading clockReading;
     /** The latest time in the journal: Unix time by the process's clock. */
@@ -192,7 +198,13 @@
                 long until = in.readLong();
                 waits.put(in.readUTF(), until);
             }
-            case JournalRecords.CLOSED -> entries.remove(number);
+            case JournalRecords.CLOSED -> {
+                entries.remove(number);
+                if (entry != null) {
+                    noteCompletion(entry, JournalRecords.isDelivered(in));
+                }
+            }
+            case JournalRecords.COMPLETED -> completions.add(JournalRecords.completion(in));
             case JournalRecords.ENDPOINT_HEALTH -> {
                 Journal.EndpointHealth health = JournalRecords.endpointHealth(in);
                 noteTime(health.sinceMillis());
@@ -211,6 +223,18 @@
         }
     }
 
+    private void noteCompletion(Journal.Entry entry, boolean delivered) {
+        if (delivered || entry.mayHaveRun()) {
+            completions.add(new CompletedMessages.Completion(entry.message.id(), delivered,
+                CompletedMessages.retainedUntil(latestMillis, entry.message.deadline())));
+        }
+    }
+
+    /** Whether the journal has an open message of this id that is not adopted yet. */
+    boolean holds(String id) {
+        return entries.values().stream().anyMatch(entry -> entry.message.id().equals(id));
+    }
+
     private void putEntry(Journal.Entry entry) throws IOException {
         entry.reservedBytes = JournalRecords.bytesToReserve(entry);
         entries.put(entry.number, entry);
