Let incomplete requests take an eighth of the heap instead of a quarter

Cause: each process keeps up to 16 MB of incomplete requests, and its heap grows to several times that; the limit was set for one process.

ReceiveBuffersTest: 341 half-written requests took more than 8 MB before (8,402,711 bytes after 187 clients) and do not now.

Why this works: above 8 MB the clients that have waited longest get 503 with Retry-After; 8 MB are 130 bodies of the largest size at once.

--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -61,8 +61,11 @@
     private static final long MAX_TRANSIT_MS = 300;
     /** Retry-After for a message that is refused before it is read in full or before the relay serves. */
     private static final long RETRY_AFTER_MICROS = 1_000_000;
-    /** Share of the heap that incomplete requests may take. */
-    private static final int RECEIVE_BUFFER_HEAP_DIVISOR = 4;
+    /**
+     * Incomplete requests may take this fraction of the heap: 1/8. The heap grows to several times what they
+     * take, and two processes share the memory limit during a replacement.
+     */
+    private static final int RECEIVE_BUFFER_HEAP_DIVISOR = 8;
     /** Parts of a body that are kept apart; more are merged, since each takes memory beside its bytes. */
     private static final int MAX_BODY_PARTS = 64;
 
@@ -84,7 +87,12 @@
     }
 
     Server(ConnectionLimiter connections, long lingerMillis) {
-        this(connections, lingerMillis, Runtime.getRuntime().maxMemory() / RECEIVE_BUFFER_HEAP_DIVISOR);
+        this(connections, lingerMillis, maxReceiveBytes(Runtime.getRuntime().maxMemory()));
+    }
+
+    /** Returns the limit for the bytes of incomplete requests with a heap of this size. */
+    static long maxReceiveBytes(long heapBytes) {
+        return heapBytes / RECEIVE_BUFFER_HEAP_DIVISOR;
     }
 
     /**
@@ -109,6 +117,11 @@
             new RequestDeadline(connections, REQUEST_TIMEOUT_MS), new RequestHandler());
     }
 
+    /** Returns the bytes that incomplete requests take now. */
+    long receivedBytes() {
+        return buffers.usedBytes();
+    }
+
     /** Until {@link #serve}, refuses each message, which is safe to retry, and fails the health check. */
     void refuseUntilServing() {
         notServingYet = true;
--- a/src/test/java/wrenkeel/net/ReceiveBuffersTest.java
+++ b/src/test/java/wrenkeel/net/ReceiveBuffersTest.java
@@ -36,6 +36,8 @@
     private static final int WRITTEN_BYTES = 45_000;
     /** The limit of direct memory in the run line. */
     private static final long DIRECT_MEMORY_LIMIT = 16 << 20;
+    /** The limit of the heap in the run line. */
+    private static final long HEAP_BYTES = 64 << 20;
     private static final String HEALTH_REQUEST = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
 
     private final MultiThreadIoEventLoopGroup group =
@@ -88,6 +90,28 @@
         assertTrue(used < DIRECT_MEMORY_LIMIT / 2, used + " bytes of direct memory");
     }
 
+    /**
+     * Guards the memory limit: while a process is replaced, both processes may be full of half-written
+     * requests, and each has a heap of this size.
+     */
+    @Test
+    void halfWrittenRequestsOfAllClientsTakeAtMostAnEighthOfTheHeap() {
+        Server server = new Server(new ConnectionLimiter(CLIENTS), 300, Server.maxReceiveBytes(HEAP_BYTES));
+        List<EmbeddedChannel> channels = new ArrayList<>();
+        byte[] part = partOfMessage(WRITTEN_BYTES).getBytes(StandardCharsets.US_ASCII);
+        for (int i = 0; i < CLIENTS; i++) {
+            EmbeddedChannel channel = newChannel(server);
+            channels.add(channel);
+            for (int begin = 0; begin < part.length; begin += HeapBufferAllocator.MAX_READ_BYTES) {
+                int length = Math.min(HeapBufferAllocator.MAX_READ_BYTES, part.length - begin);
+                channel.writeInbound(channel.alloc().heapBuffer(length).writeBytes(part, begin, length));
+                long used = server.receivedBytes();
+                assertTrue(used <= HEAP_BYTES / 8, used + " bytes after client " + i);
+            }
+        }
+        channels.forEach(EmbeddedChannel::finishAndReleaseAll);
+    }
+
     /**
      * Guards against a heap that incomplete requests fill: above the limit the client that has waited longest
      * gets an error, and the others can go on.
@@ -226,8 +250,12 @@
     }
 
     private static EmbeddedChannel newChannel() {
+        return newChannel(new Server(new ConnectionLimiter(10)));
+    }
+
+    private static EmbeddedChannel newChannel(Server server) {
         EmbeddedChannel channel = new EmbeddedChannel();
-        channel.pipeline().addLast(new Server(new ConnectionLimiter(10)));
+        channel.pipeline().addLast(server);
         channel.pipeline().fireChannelActive();
         return channel;
     }
