Ask the file's discovery address where the environment's does not answer

Cause: EDGE_DISCOVERY overrides the file at each start, and by "all else unchanged" it still has the address of the first start, which takes no connections any more.

Evidence: NodeTest.aProcessWhoseEnvironmentNamesALeftDiscovery... gets no notice on the code before, and gets it now; where the environment's address answers, it is used as before (second test).

Why this works: the file's address is kept as a second one, and until one of both has returned a list, the address changes after each call without a response.

--- a/src/main/java/wrenkeel/net/Config.java
+++ b/src/main/java/wrenkeel/net/Config.java
@@ -21,6 +21,8 @@
  *
  * @param listenAddress where clients connect
  * @param discoveryAddress address of the discovery agent
+ * @param otherDiscoveryAddress the agent's address in the file, if the environment names a different one:
+ *     the environment may have the values of an earlier start; null otherwise
  * @param consoleAddress where operators connect; null if there is none
  * @param stateFolder folder for data that outlasts the process
  * @param seed seed of the decision module's random numbers
@@ -33,9 +35,9 @@
  * @param fields all that was read from the file, without the hosts of that list
  */
 record Config(InetSocketAddress listenAddress, InetSocketAddress discoveryAddress,
-              InetSocketAddress consoleAddress, Path stateFolder, long seed, int socketLimit,
-              long diskLimitBytes, Relay.Settings settings, List<String> zones, List<String> kinds,
-              SavedHostList savedList, Wire.Fields fields) {
+              InetSocketAddress otherDiscoveryAddress, InetSocketAddress consoleAddress, Path stateFolder,
+              long seed, int socketLimit, long diskLimitBytes, Relay.Settings settings, List<String> zones,
+              List<String> kinds, SavedHostList savedList, Wire.Fields fields) {
 
     /** Subtracted from a key's window, in addition to the connect timeout, for the network delay. */
     private static final long WINDOW_MARGIN_MICROS = 100_000;
@@ -69,6 +71,7 @@
             return new Config(
                 address(env.getOrDefault("EDGE_LISTEN", all.text("listen", ""))),
                 address(env.getOrDefault("EDGE_DISCOVERY", all.text("discovery", ""))),
+                overriddenAddress(env.get("EDGE_DISCOVERY"), all.text("discovery", "")),
                 optionalAddress(env.getOrDefault("EDGE_CONSOLE", all.text("console", null))),
                 writableFolder(state),
                 seed(all.text("seed", "0")),
@@ -105,7 +108,7 @@
             throw new InvalidConfigException(
                 "kinds and the order of localities cannot change while the relay runs");
         }
-        return new Config(listenAddress, next.discoveryAddress, consoleAddress, stateFolder, seed,
+        return new Config(listenAddress, next.discoveryAddress, null, consoleAddress, stateFolder, seed,
             next.socketLimit, next.diskLimitBytes, next.settings, zones, kinds, next.savedList, next.fields);
     }
 
@@ -124,6 +127,19 @@
         return text == null ? null : address(text);
     }
 
+    /** Returns the address in the file if another one overrides it; null if none does or it is unusable. */
+    private static InetSocketAddress overriddenAddress(String override, String text) {
+        if (override == null) {
+            return null;
+        }
+        try {
+            InetSocketAddress overridden = address(text);
+            return overridden.equals(address(override)) ? null : overridden;
+        } catch (InvalidConfigException e) {
+            return null;
+        }
+    }
+
     private static Path writableFolder(String name) throws InvalidConfigException {
         Path folder = Path.of(name);
         if (!Files.isDirectory(folder) || !Files.isWritable(folder)) {
--- a/src/main/java/wrenkeel/net/Discovery.java
+++ b/src/main/java/wrenkeel/net/Discovery.java
@@ -41,6 +41,8 @@
     private final AgentConnection listConnection;
     private final NoticeSender notices;
     private InetSocketAddress agent;
+    /** Where the agent may be as well; null if that is known, as after the first list. */
+    private InetSocketAddress otherAddress;
     /** The latest scheduled call for the list; null before the first. */
     private Future<?> nextCall;
     /** A fault has been logged since the last success. */
@@ -93,6 +95,7 @@
                 faultLogged = false;
                 lastCallReturnedList = true;
                 consecutiveFaults = 0;
+                otherAddress = null;
                 watch();
                 return;
             }
@@ -104,6 +107,9 @@
                 consecutiveFaults = 0;
                 logFault("no list from discovery, HTTP status "
                     + (response.status == 0 ? "none" : response.status), null);
+                if (response.status == 0) {
+                    useOtherAddress();
+                }
             }
         } catch (RuntimeException e) {
             // The watch must go on whatever the list contains.
@@ -136,19 +142,42 @@
 
     /** Changes the agent's address. Calls and posts in progress are repeated at the new address. */
     void moveTo(InetSocketAddress agent) {
+        otherAddress = null;
         if (agent.equals(this.agent)) {
             return;
         }
-        this.agent = agent;
-        listConnection.moveTo(agent);
+        useAddress(agent);
         // The backoff after faults at the old address doesn't apply to the new one.
         consecutiveFaults = 0;
         if (nextCall != null && nextCall.cancel(false)) {
             watch();
         }
+    }
+
+    /**
+     * Names a second address at which the agent may be. Until one of both has returned a list, the address
+     * changes after each call without a response.
+     */
+    void tryAlso(InetSocketAddress other) {
+        otherAddress = other;
+    }
+
+    private void useAddress(InetSocketAddress address) {
+        agent = address;
+        listConnection.moveTo(address);
         notices.reconnect();
     }
 
+    /** Changes to the other address that the agent may have, if there is one. */
+    private void useOtherAddress() {
+        if (otherAddress != null) {
+            InetSocketAddress next = otherAddress;
+            otherAddress = agent;
+            LOG.warn("no response from discovery at {}, trying {}", agent, next);
+            useAddress(next);
+        }
+    }
+
     /** Logs the first fault after a success only: there may be many calls a second. */
     private void logFault(String fault, RuntimeException cause) {
         if (!faultLogged) {
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -295,8 +295,12 @@
         HostPool pool = new HostPool(eventLoop, calls, config.settings().limits().connectTimeout(),
             config.settings().limits().keepAlive(), config.descriptorBudget().hostConnections(), metrics);
         driver = new ControlDriver(eventLoop, clock, config, hosts, pool, journal, metrics,
-            (listener, onAcknowledged) -> new Discovery(eventLoop, calls, config.discoveryAddress(), hosts,
-                listener, onAcknowledged));
+            (listener, onAcknowledged) -> {
+                Discovery discovery = new Discovery(eventLoop, calls, config.discoveryAddress(), hosts,
+                    listener, onAcknowledged);
+                discovery.tryAlso(config.otherDiscoveryAddress());
+                return discovery;
+            });
         driver.start(config.savedList());
     }
 
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -646,6 +647,38 @@
         Files.writeString(file, before.replace(from, to));
     }
 
+    /**
+     * Guards against lost notices: after a reload has moved discovery, the next process may start with the
+     * environment of the first one, whose address takes no connections any more.
+     */
+    @Test
+    void aProcessWhoseEnvironmentNamesALeftDiscoveryUsesTheOneOfTheFile() throws Exception {
+        platform.writeConfig(hostJson("s-1", host.port(), 7, "ready"));
+        Map<String, String> env = new HashMap<>(platform.environment());
+        env.put("EDGE_DISCOVERY", "127.0.0.1:" + platform.freePort());
+        try (Node relay = new Node(Config.read(env)); var client = new Platform.Client(relay)) {
+            assertEquals(ACCEPTED, client.post("a", "pay", 7, 900).get(0));
+            assertEquals("{\"message\":\"a\",\"outcome\":\"given_up\"}", platform.nextNotice());
+        }
+    }
+
+    /** The environment comes first: where its address answers, the file's is not used. */
+    @Test
+    void aProcessWhoseDiscoveryAnswersDoesNotUseTheOneOfTheFile() throws Exception {
+        Path otherFolder = Files.createDirectory(folder.resolve("other"));
+        try (Platform other = new Platform(otherFolder)) {
+            other.writeConfig(hostJson("s-1", host.port(), 7, "ready"));
+            platform.writeConfig(hostJson("s-1", host.port(), 7, "ready"));
+            Map<String, String> env = new HashMap<>(platform.environment());
+            env.put("EDGE_DISCOVERY", other.agentAddress());
+            try (Node relay = new Node(Config.read(env)); var client = new Platform.Client(relay)) {
+                assertEquals(ACCEPTED, client.post("a", "pay", 7, 900).get(0));
+                assertEquals("{\"message\":\"a\",\"outcome\":\"given_up\"}", other.nextNotice());
+            }
+            assertTrue(platform.listQueries.isEmpty() && platform.notices.isEmpty());
+        }
+    }
+
     /** Start of the entry of class pay in the configuration file. */
     private static final String PAY_CLASS_START = "{\"name\":\"pay\"";
     /** The maximum number of attempts in the configuration file. */
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -150,6 +150,11 @@
         return Config.read(environment());
     }
 
+    /** Returns the address of the discovery agent. */
+    String agentAddress() {
+        return "127.0.0.1:" + agent.getAddress().getPort();
+    }
+
     /** Returns the EDGE_* variables for the relay. */
     Map<String, String> environment() {
         return Map.of("EDGE_CONFIG", folder.resolve("config.json").toString(),
