Keep the order of a key across the replacement of the process

Evidence: NodeTest.theProcessThatTakesOverKeepsTheOrderOfAKey fails on the code before (the second message of the key is called while the first is out), and passes now, with a message without that key sent meanwhile.

It sends none of such a key, places what is passed on before what it has accepted itself, and keeps the key's pause after the release. RuleChecker checks the same order.

--- a/src/main/java/wrenkeel/Control.java
+++ b/src/main/java/wrenkeel/Control.java
@@ -376,6 +376,8 @@
             externalCalls += e.calls() - destination.externalCalls;
             destination.externalCalls = e.calls();
             dispatchCandidates.add(destination);
+        } else if (event instanceof ExternalOrderingKeys e) {
+            applyExternalKeys(e.orderingKeys());
         } else if (event instanceof MessageWithdrawn e && messages.containsKey(e.id())) {
             endMessage(messages.get(e.id()));
         } else if (event instanceof StorageChanged e) {
@@ -419,6 +421,7 @@
             message.destination.recordAccepted(now, RATE_SPAN_MICROS,
                 Math.max(MIN_RATE_AGE_MICROS, now - startedAt));
         }
+        message.recovered = event.recovered();
         message.deadline = event.deadline();
         message.aim = message.deadline + event.answerReserve() - message.messageClass.lifetime()
             + message.messageClass.aim();
@@ -430,9 +433,8 @@
         openMessages++;
         schedule(message.deadline, TimerKind.DEADLINE, message);
         if (message.messageClass.inOrder() && event.orderingKey() != null) {
-            message.orderingKey = orderingKeys.computeIfAbsent(event.orderingKey(), k -> new OrderingKey());
-            message.orderingKey.name = event.orderingKey();
-            message.orderingKey.messages.addLast(message);
+            message.orderingKey = orderingKeys.computeIfAbsent(event.orderingKey(), OrderingKey::new);
+            message.orderingKey.add(message);
         }
         for (EarlierAttempt earlier : event.earlierAttempts()) {
             message.attempts.add(recoveredAttempt(message, earlier));
@@ -441,7 +443,7 @@
         if (!message.attempts.isEmpty() && (message.attemptCount() >= message.messageClass.maxAttempts()
             || message.messageClass.effect() == Effect.UNSAFE && message.mayHaveRun())) {
             refuseOrFail(message);
-        } else if (message.orderingKey == null || message.orderingKey.messages.peekFirst() == message) {
+        } else if (message.orderingKey == null || message.orderingKey.isHead(message)) {
             enqueue(message, false);
         }
     }
@@ -562,13 +564,32 @@
         }
         Message head = key.messages.peekFirst();
         boolean idle = head == null || !head.ended && !head.queued && head.openAttempts == 0;
+        if (key.heldElsewhere) {
+            return;
+        }
         if (idle && key.pausedUntil > now) {
             schedule(key.pausedUntil, TimerKind.ORDERING_KEY, key);
         } else if (head == null) {
             orderingKeys.remove(key.name);
         } else if (idle) {
             enqueue(head, false);
+        } else {
+            dispatchCandidates.add(head.destination);
+        }
+    }
+
+    /**
+     * Holds the keys of which the previous process still has messages, and lets the messages of the others
+     * proceed. The last call there may still be running when its message has ended, so a key pauses then.
+     */
+    private void applyExternalKeys(Set<String> held) {
+        for (OrderingKey key : List.copyOf(orderingKeys.values())) {
+            if (key.heldElsewhere && !held.contains(key.name)) {
+                key.release(now + settings.rules().keyPause());
+                schedule(key.pausedUntil, TimerKind.ORDERING_KEY, key);
+            }
         }
+        held.forEach(name -> orderingKeys.computeIfAbsent(name, OrderingKey::new).heldElsewhere = true);
     }
 
     private void endAttempt(AttemptEnded event) {
@@ -807,8 +828,7 @@
             || message.deadline <= now || !effectAllows(message, endpoint, copy)) {
             return NEVER;
         }
-        if (message.orderingKey != null && (message.orderingKey.messages.peekFirst() != message
-            || message.orderingKey.pausedUntil > now && message.attempts.isEmpty())) {
+        if (message.orderingKey != null && !message.orderingKey.isTurnOf(message, now)) {
             return NEVER;
         }
         boolean joinsCall = canJoinCall(endpoint);
--- a/src/main/java/wrenkeel/Relay.java
+++ b/src/main/java/wrenkeel/Relay.java
@@ -1,6 +1,7 @@
 package wrenkeel;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * The interface of the decision module ({@link Control}): its settings, the events that it receives and the
@@ -308,6 +309,12 @@
     /** The number of calls to a destination that the previous process still has in flight. */
     public record ExternalCalls(long destination, int calls) implements Event { }
 
+    /**
+     * The ordering keys of which the previous process still has messages, in flight or waiting. They were
+     * accepted before those of this process, so none of these keys' messages may be sent meanwhile.
+     */
+    public record ExternalOrderingKeys(Set<String> orderingKeys) implements Event { }
+
     /** Whether attempts can be written to the journal; while they cannot, none may be made. */
     public record StorageChanged(boolean writable) implements Event { }
 
--- a/src/main/java/wrenkeel/State.java
+++ b/src/main/java/wrenkeel/State.java
@@ -49,6 +49,8 @@
         Destination destination;
         /** Null for a message without an ordering key. */
         OrderingKey orderingKey;
+        /** An earlier process has accepted it. */
+        boolean recovered;
         /** When its final answer is due. */
         long deadline;
         /** End of its target time: a delivery after this earns less. */
@@ -149,10 +151,46 @@
 
     /** The messages that share an ordering key, in order of acceptance. Only the first may be sent. */
     static final class OrderingKey {
-        String name;
+        final String name;
         /** No message of the key is sent for the first time before this. */
         long pausedUntil;
+        /** The previous process still has earlier messages of the key: none is sent until it has none. */
+        boolean heldElsewhere;
+        /** In the order in which the relay accepted them. */
         final ArrayDeque<Message> messages = new ArrayDeque<>();
+
+        OrderingKey(String name) {
+            this.name = name;
+        }
+
+        /**
+         * Adds a message. One of an earlier process was accepted before all that this process has accepted
+         * itself, and after those of earlier processes that were added before.
+         */
+        void add(Message message) {
+            ArrayDeque<Message> later = new ArrayDeque<>();
+            while (message.recovered && !messages.isEmpty() && !messages.peekLast().recovered) {
+                later.addFirst(messages.pollLast());
+            }
+            messages.addLast(message);
+            messages.addAll(later);
+        }
+
+        /** The previous process has no more messages of the key; none is sent before {@code pauseEnd}. */
+        void release(long pauseEnd) {
+            heldElsewhere = false;
+            pausedUntil = Math.max(pausedUntil, pauseEnd);
+        }
+
+        /** True if no earlier message of the key comes before this one, here or in the previous process. */
+        boolean isHead(Message message) {
+            return messages.peekFirst() == message && (!heldElsewhere || message.recovered);
+        }
+
+        /** True if this message may be sent as far as the order is concerned. */
+        boolean isTurnOf(Message message, long now) {
+            return isHead(message) && (!message.attempts.isEmpty() || pausedUntil <= now);
+        }
     }
 
     /**
--- a/src/main/java/wrenkeel/net/ControlDriver.java
+++ b/src/main/java/wrenkeel/net/ControlDriver.java
@@ -126,6 +126,8 @@
     private boolean handingOver;
     /** Messages that other processes of this relay still have in flight, by destination. */
     private Map<Long, Integer> inFlightElsewhere = Map.of();
+    /** Ordering keys of messages that other processes of this relay still have. */
+    private Set<String> orderedKeysElsewhere = Set.of();
     private final EndpointHealthLog healthLog = new EndpointHealthLog();
     /** Health recorded by earlier processes, by host, of hosts that are not in the list yet. */
     private final Map<String, Journal.EndpointHealth> unlistedHealth = new HashMap<>();
@@ -284,6 +286,16 @@
             }
         }
         inFlightElsewhere = inFlight;
+        updateExternalKeys();
+    }
+
+    /** Notifies the module if earlier processes hold other ordering keys than before. */
+    private void updateExternalKeys() {
+        Set<String> keys = journal.orderedKeysElsewhere();
+        if (!keys.equals(orderedKeysElsewhere)) {
+            orderedKeysElsewhere = keys;
+            enqueue(new Relay.ExternalOrderingKeys(keys));
+        }
     }
 
     /** Restores the health of an endpoint: an outage that one process of a relay saw binds all of them. */
@@ -444,6 +456,8 @@
         messages.put(message.id(), tracked);
         openMessages++;
         unansweredClients.put(message.id(), callback);
+        // What the earlier process has accepted up to now comes first; it was read for the answer above.
+        updateExternalKeys();
         introduce(message.destination());
         enqueue(acceptedEvent(tracked, false, List.of()));
     }
--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -103,6 +103,11 @@
             this.messageClass = messageClass;
         }
 
+        /** Whether the message must be sent in order with others of its route key. */
+        boolean isOrdered() {
+            return messageClass != null && messageClass.inOrder() && message.routeKey() != null;
+        }
+
         /** Whether an endpoint may have run the message. */
         boolean mayHaveRun() {
             return attempts.stream().anyMatch(attempt -> attempt.mayHaveRun);
@@ -250,6 +255,20 @@
         return inFlight;
     }
 
+    /**
+     * Returns the route keys of the messages that earlier processes still have and that must be sent in
+     * order, as read so far.
+     */
+    Set<String> orderedKeysElsewhere() {
+        Set<String> keys = new LinkedHashSet<>();
+        for (PredecessorJournal predecessor : predecessors) {
+            predecessor.entries.values().stream()
+                .filter(entry -> entry.end == null && entry.isOrdered())
+                .forEach(entry -> keys.add(entry.message.routeKey()));
+        }
+        return keys;
+    }
+
     /**
      * Adopts the messages that earlier processes have passed on, and all open messages of processes that have
      * ended, whose files are then deleted.
--- a/src/test/java/wrenkeel/ControlTest.java
+++ b/src/test/java/wrenkeel/ControlTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import wrenkeel.Relay.*;
 
@@ -54,6 +55,43 @@
         return relay.control.turn(relay.now, List.of(recoveredMessage(relay, messageClass, earlier)));
     }
 
+    /**
+     * Guards the order by key across a replacement: messages wait for those that the previous process has of
+     * their key, and one that it passes on comes before them. Other keys go on.
+     */
+    @Test
+    void messagesOfAKeyWaitForThoseOfThePreviousProcess() {
+        ScriptedRelay relay = twoEndpointRelay(1, 8, false);
+        relay.warmUp(6, 1);
+        MessageAccepted own = relay.message(2, 1, "held");
+        MessageAccepted other = relay.message(2, 1, "other");
+        List<Send> sent = sends(relay.turn(new ExternalOrderingKeys(Set.of("held")), own, other));
+        assertEquals(List.of(other.id()), sent.stream().map(Send::id).toList());
+        relay.turn(attemptEnded(sent.get(0), 0, Outcome.OK));
+        assertEquals(List.of(), sends(relay.advance(SECOND)));
+        MessageAccepted passedOn = new MessageAccepted("r", 2, 0, "held", own.deadline(), 1, true, List.of());
+        sent = sends(relay.turn(passedOn, new ExternalOrderingKeys(Set.of())));
+        sent = sent.isEmpty() ? sends(relay.advance(SECOND)) : sent;
+        assertEquals(List.of("r"), sent.stream().map(Send::id).toList());
+        assertEquals(List.of(), sends(relay.advance(100 * MS)));
+        sent = new ArrayList<>(sends(relay.turn(attemptEnded(sent.get(0), 0, Outcome.OK))));
+        sent.addAll(sends(relay.advance(SECOND)));
+        assertEquals(List.of(own.id()), sent.stream().map(Send::id).toList());
+    }
+
+    /** A queued message must go on when its key is held for a moment, also with a pause after that. */
+    @Test
+    void aQueuedMessageGoesOnWhenItsKeyIsReleased() {
+        ScriptedRelay relay = twoEndpointRelay(1, 1, false);
+        List<Send> first = sends(relay.turn(relay.message(0, 1)));
+        MessageAccepted queued = relay.message(2, 1, "held");
+        assertEquals(List.of(), sends(relay.turn(queued)));
+        relay.turn(new ExternalOrderingKeys(Set.of("held")));
+        assertEquals(List.of(), sends(relay.turn(attemptEnded(first.get(0), 0, Outcome.OK))));
+        relay.turn(new ExternalOrderingKeys(Set.of()));
+        assertEquals(List.of(queued.id()), sends(relay.advance(SECOND)).stream().map(Send::id).toList());
+    }
+
     /** A module that did not know the attempts made before a restart could cause double effects. */
     @Test
     void recoveredMessagesKeepTheirEarlierAttempts() {
--- a/src/test/java/wrenkeel/RuleChecker.java
+++ b/src/test/java/wrenkeel/RuleChecker.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import wrenkeel.Relay.*;
 
 /**
@@ -74,6 +75,8 @@
     private final Map<String, List<TrackedMessage>> messagesByKey = new HashMap<>();
     /** When the pause of a key is over that follows an attempt of unknown outcome. */
     private final Map<String, Long> keyPausedUntil = new HashMap<>();
+    /** Keys of which the previous process has messages. */
+    private Set<String> keysElsewhere = Set.of();
     /** Endpoints by id, as listed last. */
     final Map<Long, Endpoint> endpoints = new HashMap<>();
     /** By endpoint: since when it has been draining or off the list. */
@@ -108,7 +111,7 @@
             message.messageClass = settings.classes().get(e.messageClass());
             messages.put(e.id(), message);
             if (message.messageClass.inOrder() && e.orderingKey() != null) {
-                messagesByKey.computeIfAbsent(e.orderingKey(), k -> new ArrayList<>()).add(message);
+                insertByKey(messagesByKey.computeIfAbsent(e.orderingKey(), k -> new ArrayList<>()), message);
             }
         } else if (event instanceof AttemptEnded e) {
             TrackedMessage message = messages.get(e.id());
@@ -124,6 +127,8 @@
             if (message.accepted.orderingKey() != null && message.messageClass.inOrder() && unknownOutcome) {
                 keyPausedUntil.put(message.accepted.orderingKey(), now + settings.rules().keyPause());
             }
+        } else if (event instanceof ExternalOrderingKeys e) {
+            keysElsewhere = e.orderingKeys();
         } else if (event instanceof MessageWithdrawn e) {
             finish(messages.get(e.id()), now);
         } else if (event instanceof ListUpdated e) {
@@ -244,11 +249,25 @@
         }
     }
 
+    /**
+     * Adds a message to those of its key. One of an earlier process was accepted before those that this
+     * process has accepted itself.
+     */
+    private static void insertByKey(List<TrackedMessage> sameKey, TrackedMessage message) {
+        int index = sameKey.size();
+        while (message.accepted.recovered() && index > 0 && !sameKey.get(index - 1).accepted.recovered()) {
+            index--;
+        }
+        sameKey.add(index, message);
+    }
+
     /** Checks the order of messages that share a key (rule 6). */
     private void checkKeyOrder(long now, TrackedMessage message) {
         if (message.accepted.orderingKey() == null || !message.messageClass.inOrder()) {
             return;
         }
+        require(!keysElsewhere.contains(message.accepted.orderingKey()) || message.accepted.recovered(),
+            "6: sent while the previous process has earlier messages of its key");
         for (TrackedMessage earlier : messagesByKey.get(message.accepted.orderingKey())) {
             if (earlier == message) {
                 break;
--- a/src/test/java/wrenkeel/net/NodeTest.java
+++ b/src/test/java/wrenkeel/net/NodeTest.java
@@ -581,6 +581,55 @@
         assertTrue(host.hasNoCalls(), "each must be delivered only once");
     }
 
+    /**
+     * Guards the order by key: the process that takes over must not send a message while the one before it is
+     * in flight in the old process.
+     */
+    @Test
+    void theProcessThatTakesOverKeepsTheOrderOfAKey() throws Exception {
+        int port = platform.freePort();
+        configWithSharedPort(port);
+        replaceInConfig("\"semantics\":\"fragile\"", "\"semantics\":\"fragile\",\"sequential\":true");
+        Config config = Config.read(platform.environment());
+        Node old = new Node(config);
+        try (var client = new Platform.Client(old); Node next = new Node(config)) {
+            // After these the module allows more than one call in flight.
+            for (int i = 0; i < 8; i++) {
+                assertEquals(ACCEPTED, client.post("warm-" + i, "bill", 7, 60_000).get(0));
+                host.nextCall().respond(StubHost.OK);
+                awaitIdle(old);
+            }
+            assertEquals(ACCEPTED, postOrdered(client, "a"));
+            StubHost.Call first = host.nextCall();
+            awaitReady(next);
+            Thread shutdown = new Thread(old::shutDown);
+            shutdown.start();
+            next.awaitServing();
+            var address = new java.net.InetSocketAddress(Platform.LOOPBACK, port);
+            try (var lateClient = Platform.Client.ofServingProcess(address)) {
+                assertEquals(ACCEPTED, postOrdered(lateClient, "b"));
+                // A message of another key is sent beside the one in flight.
+                assertEquals(ACCEPTED, lateClient.post("c", "bill", 7, 60_000).get(0));
+                StubHost.Call other = host.nextCall();
+                assertEquals("c", other.header("X-Request-ID"));
+                other.respond(StubHost.OK);
+            }
+            first.respond(StubHost.OK);
+            StubHost.Call second = host.nextCall();
+            assertEquals("b", second.header("X-Request-ID"));
+            second.respond(StubHost.OK);
+            shutdown.join();
+            awaitIdle(next);
+        }
+    }
+
+    /** Submits a message with a route key. */
+    private static String postOrdered(Platform.Client client, String id) throws IOException {
+        List<String> headers = new java.util.ArrayList<>(Platform.Client.headers(id, "pay", 7, 60_000));
+        headers.add("X-Route-Key: k");
+        return client.post("/pay", headers, "").get(0);
+    }
+
     /** Guards accepted messages when the old process is killed before it is asked to shut down. */
     @Test
     void aStandbyProcessTakesOverFromAKilledProcess() throws Exception {
--- a/src/test/java/wrenkeel/net/Platform.java
+++ b/src/test/java/wrenkeel/net/Platform.java
@@ -206,6 +206,25 @@
             socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
         }
 
+        /**
+         * Connects to the process that takes over, while the other one may still listen at the address: a
+         * connect to that one may fail, and its health check does.
+         */
+        static Client ofServingProcess(InetSocketAddress address) throws InterruptedException {
+            while (true) {
+                try {
+                    Client client = new Client(address);
+                    String head = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+                    if (client.exchange(head, new byte[0]).get(0).contains("200")) {
+                        return client;
+                    }
+                    client.close();
+                } catch (IOException e) {
+                    Thread.sleep(5);
+                }
+            }
+        }
+
         /** Returns the headers of a request that submits a message, without Host and Content-Length. */
         static List<String> headers(String id, String messageClass, int destination, long timeoutMillis) {
             return List.of("X-Request-ID: " + id, "X-Priority-Class: " + messageClass,
--- a/src/test/java/wrenkeel/net/RepeatedMessageTest.java
+++ b/src/test/java/wrenkeel/net/RepeatedMessageTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.*;
 import static wrenkeel.net.Platform.hostJson;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import org.junit.jupiter.api.AfterEach;
@@ -21,7 +20,6 @@
 @Timeout(120)
 class RepeatedMessageTest {
     private static final String ACCEPTED = "HTTP/1.1 202 Accepted";
-    private static final String HEALTH_REQUEST = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
     private static final String FAILED = "HTTP/1.1 504 Gateway Timeout";
 
     @TempDir
@@ -175,7 +173,7 @@
             Thread shutdown = new Thread(old::shutDown);
             shutdown.start();
             next.awaitServing();
-            try (var client = connectToServing()) {
+            try (var client = Platform.Client.ofServingProcess(address)) {
                 assertEquals(ACCEPTED, client.post("a", "pay", 7, 60_000).get(0));
                 if (callIsOut) {
                     call.respond(StubHost.OK);
@@ -186,19 +184,4 @@
             assertNothingElseIsSent(next);
         }
     }
-
-    /** Connects to a process that is not shutting down; while the other one closes, a connect may fail. */
-    private Platform.Client connectToServing() throws Exception {
-        while (true) {
-            try {
-                Platform.Client client = new Platform.Client(address);
-                if (client.exchange(HEALTH_REQUEST, new byte[0]).get(0).contains("200")) {
-                    return client;
-                }
-                client.close();
-            } catch (IOException e) {
-                Thread.sleep(5);
-            }
-        }
-    }
 }
