Wait for the drain of the listener before the old process closes

Callers saw: a client that connects just as the process that is replaced closes its listening socket gets a reset and no answer.

Cause: Node.drainClients waited until no connection is open; with none open at that moment it went on within the 20 ms before ClientListener.drain accepts what is queued, and the event loop ended before that.

Why this works: drain returns a future that completes when the queued connections are accepted and the socket is closed, and the shutdown waits for it, up to its deadline. The test of drain now checks what is accepted at that time.

--- a/src/main/java/wrenkeel/net/ClientListener.java
+++ b/src/main/java/wrenkeel/net/ClientListener.java
@@ -6,6 +6,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -42,6 +44,8 @@
     private final EventLoop eventLoop;
     private final NioServerSocketChannel listener;
     private final Acceptor acceptor;
+    /** Completes when {@link #drain} has closed the socket; null if the address is only reserved. */
+    private final Promise<Void> drained;
 
     private ClientListener(NetworkChannel socket, EventLoop eventLoop, NioServerSocketChannel listener,
                            Acceptor acceptor) {
@@ -49,6 +53,7 @@
         this.eventLoop = eventLoop;
         this.listener = listener;
         this.acceptor = acceptor;
+        this.drained = eventLoop == null ? null : eventLoop.newPromise();
     }
 
     /** Binds the address without listening there: no client connects to this process yet. */
@@ -132,12 +137,15 @@
 
     /**
      * Stops listening: accepts all queued connections, then closes the socket at once, so that none is queued
-     * in between and lost.
+     * in between and lost. To be called on the event loop.
+     *
+     * @return completes when the socket is closed
      */
-    void drain() {
+    Future<Void> drain() {
         listener.deregister().addListener(done ->
             eventLoop.schedule(() -> acceptPending(MAX_DRAIN_TRIES), DEREGISTER_DELAY_MS,
                 TimeUnit.MILLISECONDS));
+        return drained;
     }
 
     private void acceptPending(int triesLeft) {
@@ -159,6 +167,7 @@
         }
         closeSocket();
         close();
+        drained.trySuccess(null);
     }
 
     private void closeSocket() {
--- a/src/main/java/wrenkeel/net/Node.java
+++ b/src/main/java/wrenkeel/net/Node.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
@@ -403,7 +404,9 @@
      * a request that is on its way.
      */
     private void drainClients(long deadlineNanos) throws InterruptedException, ExecutionException {
-        eventLoop.submit(clientListener::drain).get();
+        Future<Void> drained = eventLoop.submit(clientListener::drain).get();
+        // Until then, no connection of those that are queued is counted.
+        drained.await(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
         while (System.nanoTime() < deadlineNanos && eventLoop.submit(connections::size).get() > 0) {
             Thread.sleep(SHUTDOWN_POLL_MS);
         }
--- a/src/test/java/wrenkeel/net/ClientListenerTest.java
+++ b/src/test/java/wrenkeel/net/ClientListenerTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.util.Set;
 import java.util.HashSet;
 import java.nio.channels.NetworkChannel;
@@ -118,10 +119,10 @@
         for (int i = 0; i < 3; i++) {
             queued.add(new Socket(Platform.LOOPBACK, listener.address().getPort()));
         }
-        eventLoop.submit(listener::drain).get();
+        Future<Void> drained = eventLoop.submit(listener::drain).get();
+        assertTrue(drained.await(Platform.TIMEOUT_SECONDS, TimeUnit.SECONDS));
         for (int i = 0; i < queued.size(); i++) {
-            assertNotNull(accepted.poll(Platform.TIMEOUT_SECONDS, TimeUnit.SECONDS),
-                "not accepted: connection " + i);
+            assertNotNull(accepted.poll(), "not accepted before the end of the drain: connection " + i);
         }
         for (Socket socket : queued) {
             socket.close();
