Recognize in the old process an id that the next one has

Callers saw: while the process is replaced, an id that was submitted to the new process, or passed on to it, comes again on a connection that the client has kept to the old one, and is sent a second time.

Evidence: RepeatedMessageTest.anIdOfTheProcessThatTakesOver... fails on the code before (the id is called again) and passes now.

Why this works: while it hands over, the old process reads the journals of later processes before each message that it accepts, from their start, since those files are rewritten by an atomic replacement.

Measured: RepeatedMessageTest, CompletedMessagesTest, JournalTest and SharedStateFolderTest green, 43 tests.

--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wrenkeel.Relay;
@@ -135,6 +136,8 @@
     private final JournalSpace space;
     /** The journals of earlier processes, the oldest first, until they hold no open message. */
     private final List<PredecessorJournal> predecessors = new ArrayList<>();
+    /** The journals of later processes, as last read; empty unless this process hands over. */
+    private final List<PredecessorJournal> successors = new ArrayList<>();
     /** The messages adopted from files that still exist. */
     private final Set<Origin> adopted = new LinkedHashSet<>();
     /** The open messages by their numbers, in the order in which they were accepted. */
@@ -343,19 +346,35 @@
 
     /**
      * Returns what is known of a message that is over and that an endpoint has run or may have run, in this
-     * process or an earlier one; null if nothing is.
+     * process or another one; null if nothing is.
      */
     CompletedMessages.Completion completion(String id) throws IOException {
         for (PredecessorJournal predecessor : predecessors) {
             predecessor.readNewRecords();
             inheritCompletions(predecessor);
         }
+        readSuccessors();
         return completed.find(id, clock.millis());
     }
 
-    /** Whether an earlier process still holds an open message of this id. */
+    /**
+     * Reads the journals of the processes that this one hands over to, each from its start, since they are
+     * rewritten meanwhile.
+     */
+    private void readSuccessors() throws IOException {
+        successors.clear();
+        for (ProcessLease.OtherProcess process : handingOver ? lease.successors()
+                : List.<ProcessLease.OtherProcess>of()) {
+            PredecessorJournal successor = new PredecessorJournal(process);
+            successor.readNewRecords();
+            inheritCompletions(successor);
+            successors.add(successor);
+        }
+    }
+
+    /** Whether another process holds an open message of this id, as {@link #completion} has read it. */
     boolean isOpenElsewhere(String id) {
-        return predecessors.stream().anyMatch(predecessor -> predecessor.holds(id));
+        return Stream.concat(predecessors.stream(), successors.stream()).anyMatch(other -> other.holds(id));
     }
 
     /** Notes that a message is over, if an endpoint may have run it. */
--- a/src/main/java/wrenkeel/net/PredecessorJournal.java
+++ b/src/main/java/wrenkeel/net/PredecessorJournal.java
@@ -15,7 +15,10 @@
 import org.slf4j.LoggerFactory;
 import wrenkeel.Relay;
 
-/** The journal of an earlier process, read incrementally while that process may still be writing it. */
+/**
+ * The journal of another process, in general an earlier one, read incrementally while that process may still
+ * be writing it.
+ */
 final class PredecessorJournal {
     private static final Logger LOG = LoggerFactory.getLogger(PredecessorJournal.class);
     /**
--- a/src/main/java/wrenkeel/net/ProcessLease.java
+++ b/src/main/java/wrenkeel/net/ProcessLease.java
@@ -131,6 +131,12 @@
         return predecessors;
     }
 
+    /** Returns the processes with a higher number that have a journal. */
+    List<OtherProcess> successors() throws IOException {
+        return numbersOf(folder, JOURNAL_FILE).stream().filter(other -> other > number)
+            .map(other -> new OtherProcess(folder, files, other)).toList();
+    }
+
     /** Whether a process with a higher number is alive. */
     boolean hasStandby() throws IOException {
         for (long other : numbersOf(folder, LOCK_FILE)) {
--- a/src/test/java/wrenkeel/net/CompletedMessagesTest.java
+++ b/src/test/java/wrenkeel/net/CompletedMessagesTest.java
@@ -149,4 +149,32 @@
                 next.openEntries().stream().map(entry -> entry.message.id()).toList());
         }
     }
+
+    /** The process that hands over reads the next one's file, which is rewritten meanwhile. */
+    @Test
+    void theProcessThatHandsOverKnowsWhatTheNextOneHoldsAndHasCompleted() throws IOException {
+        try (Journal old = open();
+             Journal next =
+                 new Journal(folder, LIMIT_BYTES, new ProcessClock(machine), FileOperations.SYSTEM)) {
+            Journal.Entry waiting = old.accept(
+                new Message("waits", "pay", 0, null, null, 7, wallMillis.get() + 1_000, new byte[10]),
+                MESSAGE_CLASS);
+            old.beginHandover();
+            old.passOn(waiting);
+            old.publishSnapshot("{}");
+            next.adopt(entry -> { });
+            assertNull(old.completion("waits"));
+            assertTrue(old.isOpenElsewhere("waits"));
+            Journal.Entry adopted = next.openEntries().iterator().next();
+            next.recordSent(adopted, wallMillis.get(), 0);
+            next.recordDelivered(adopted);
+            assertEquals(true, isDelivered(old, "waits"));
+            assertFalse(old.isOpenElsewhere("waits"));
+            acceptAndSend(next, "new");
+            // Rewrites the file.
+            next.beginHandover();
+            assertNull(old.completion("new"));
+            assertTrue(old.isOpenElsewhere("new"));
+        }
+    }
 }
--- a/src/test/java/wrenkeel/net/RepeatedMessageTest.java
+++ b/src/test/java/wrenkeel/net/RepeatedMessageTest.java
@@ -184,4 +184,32 @@
             assertNothingElseIsSent(next);
         }
     }
+
+    /** A call in flight keeps the old process alive, and a client has kept its connection to it. */
+    @Test
+    void anIdOfTheProcessThatTakesOverIsNotSentAgainByTheOldOne() throws Exception {
+        Node old = new Node(config);
+        try (var kept = new Platform.Client(old); Node next = new Node(config)) {
+            // After these the module allows more than one call in flight.
+            for (int i = 0; i < 8; i++) {
+                deliver(old, "warm-" + i, "bill");
+            }
+            assertEquals(ACCEPTED, kept.post("out", "pay", 7, 60_000).get(0));
+            StubHost.Call out = host.nextCall();
+            Thread shutdown = new Thread(old::shutDown);
+            shutdown.start();
+            next.awaitServing();
+            try (var client = Platform.Client.ofServingProcess(address)) {
+                assertEquals(ACCEPTED, client.post("a", "pay", 7, 60_000).get(0));
+            }
+            StubHost.Call call = host.nextCall();
+            assertEquals("a", call.header("X-Request-ID"));
+            call.respond(StubHost.OK);
+            awaitIdle(next);
+            assertEquals(ACCEPTED, kept.post("a", "pay", 7, 60_000).get(0));
+            out.respond(StubHost.OK);
+            shutdown.join();
+            assertNothingElseIsSent(next);
+        }
+    }
 }
