Refuse a request that is not decoded at its deadline instead of closing on it

Callers saw: nothing yet; found by going through the timers that end a connection.

Cause: since a request is decoded over several iterations, and RequestDeadline took what is not decoded yet for what has not arrived.

Evidence: RequestDeadlineTest.aRequestThatIsNotDecodedAtTheDeadlineIsAnswered gets no answer without the change ("closed without an answer") and 503 with it.

Why this works: at the deadline a connection whose decoder has paused gets 503 with Retry-After, as at the limit of the memory for incomplete requests; nothing of the request has been passed on, so it may be handed in again.

--- a/src/main/java/wrenkeel/net/RequestDeadline.java
+++ b/src/main/java/wrenkeel/net/RequestDeadline.java
@@ -15,6 +15,11 @@
  * extend it: a peer that trickles bytes occupies a file descriptor just as a silent one does.
  */
 final class RequestDeadline extends ChannelDuplexHandler {
+    /** Asks the next handler to refuse a request that may be whole but was not decoded in time. */
+    enum DecodingOverdue {
+        INSTANCE
+    }
+
     private final ConnectionLimiter connections;
     private final long timeoutMillis;
     private Future<?> timer;
@@ -86,12 +91,19 @@
 
     /**
      * Closes the connection if no whole request has arrived. Reads the socket first, since the request may
-     * have arrived while the thread was busy.
+     * have arrived while the thread was busy. A request that is not decoded yet is refused instead: all of it
+     * may have arrived, and its client must get an answer.
      */
     void expire(ChannelHandlerContext context) {
         Future<?> expired = timer;
         SocketReader.readNow(context.channel());
-        if (timer == expired) {
+        if (timer != expired) {
+            return;
+        }
+        RequestDecoder decoder = context.pipeline().get(RequestDecoder.class);
+        if (decoder != null && decoder.isDecodingPaused()) {
+            context.fireUserEventTriggered(DecodingOverdue.INSTANCE);
+        } else {
             context.close();
         }
     }
--- a/src/main/java/wrenkeel/net/RequestDecoder.java
+++ b/src/main/java/wrenkeel/net/RequestDecoder.java
@@ -44,6 +44,11 @@
         return withinRequest;
     }
 
+    /** True while more has been read than is decoded, because of the other connections. */
+    boolean isDecodingPaused() {
+        return decodingPaused;
+    }
+
     /**
      * The response to the latest request has been handed to the socket. If more input was read meanwhile, it
      * is decoded in a later iteration of the event loop, so that timers and other connections come in
--- a/src/main/java/wrenkeel/net/Server.java
+++ b/src/main/java/wrenkeel/net/Server.java
@@ -209,16 +209,17 @@
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
             if (event == ReceiveBufferLimit.Exceeded.INSTANCE) {
-                refuseIncomplete(context);
+                refuseIncomplete(context, "incomplete, and the memory for incomplete requests is used up");
+            } else if (event == RequestDeadline.DecodingOverdue.INSTANCE) {
+                refuseIncomplete(context, "not decoded in time");
             } else {
                 context.fireUserEventTriggered(event);
             }
         }
 
-        /** Refuses a request that is not read in full, and releases what has been read of it. */
-        private void refuseIncomplete(ChannelHandlerContext context) {
-            logInvalidRequest(context, HttpResponseStatus.SERVICE_UNAVAILABLE,
-                "incomplete, and the memory for incomplete requests is used up");
+        /** Refuses a request that is not decoded in full, and releases what has been read of it. */
+        private void refuseIncomplete(ChannelHandlerContext context, String reason) {
+            logInvalidRequest(context, HttpResponseStatus.SERVICE_UNAVAILABLE, reason);
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_MICROS, false);
             ChannelPipeline pipeline = context.pipeline();
             if (pipeline.get(RequestDecoder.class) != null) {
--- a/src/test/java/wrenkeel/net/RequestDeadlineTest.java
+++ b/src/test/java/wrenkeel/net/RequestDeadlineTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -193,9 +194,33 @@
         }
     }
 
-    /** Runs the connection's deadline now, as its timer would. */
+    /**
+     * Guards against a lost message: a request in many chunks may have arrived whole and be decoded in part
+     * only when its time is up.
+     */
+    @Test
+    void aRequestThatIsNotDecodedAtTheDeadlineIsAnswered() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        channel.freezeTime();
+        channel.pipeline().addLast(new Server(new ConnectionLimiter(10)));
+        channel.pipeline().fireChannelActive();
+        channel.pipeline().fireChannelRead(bytes("GET /healthz HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "1\r\nx\r\n".repeat(100) + "0\r\n\r\n"));
+        expire(channel);
+        ByteBuf response = channel.readOutbound();
+        assertNotNull(response, "closed without an answer");
+        assertTrue(response.toString(StandardCharsets.US_ASCII).startsWith("HTTP/1.1 503"));
+        response.release();
+        channel.finishAndReleaseAll();
+    }
+
     private static void expire(SocketPair pair) {
-        ChannelHandlerContext context = pair.channel.pipeline().context(RequestDeadline.class);
+        expire(pair.channel);
+    }
+
+    /** Runs the connection's deadline now, as its timer would. */
+    private static void expire(Channel channel) {
+        ChannelHandlerContext context = channel.pipeline().context(RequestDeadline.class);
         ((RequestDeadline) context.handler()).expire(context);
     }
 }
