--- a/src/main/java/wrenkeel/net/Journal.java
+++ b/src/main/java/wrenkeel/net/Journal.java
@@ -7,8 +7,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -736,16 +738,17 @@
 
     /** Encodes the latest of these messages that are over, the oldest first, as far as there is space. */
     private byte[] encodeLatest(List<CompletedMessages.Completion> oldestFirst) {
-        ByteArrayOutputStream records = new ByteArrayOutputStream();
-        long excess = oldestFirst.stream().mapToLong(JournalRecords::completedBytes).sum()
-            - space.maxCompletionBytes();
-        for (CompletedMessages.Completion completion : oldestFirst) {
-            if (excess > 0) {
-                excess -= JournalRecords.completedBytes(completion);
-            } else {
-                records.writeBytes(JournalRecords.completed(completion));
+        Deque<byte[]> latest = new ArrayDeque<>();
+        long bytes = 0;
+        for (int i = oldestFirst.size() - 1; i >= 0 && bytes <= space.maxCompletionBytes(); i--) {
+            byte[] record = JournalRecords.completed(oldestFirst.get(i));
+            bytes += record.length;
+            if (bytes <= space.maxCompletionBytes()) {
+                latest.addFirst(record);
             }
         }
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        latest.forEach(records::writeBytes);
         return records.toByteArray();
     }
 
--- a/src/main/java/wrenkeel/net/JournalRecords.java
+++ b/src/main/java/wrenkeel/net/JournalRecords.java
@@ -125,11 +125,6 @@
         }
     }
 
-    /** Returns the size of the record of a message that is over. */
-    static long completedBytes(CompletedMessages.Completion completion) {
-        return completed(completion).length;
-    }
-
     /** Decodes the fields of a record of a message that is over. */
     static CompletedMessages.Completion completion(DataInputStream in) throws IOException {
         return new CompletedMessages.Completion(in.readUTF(), in.readBoolean(), in.readLong());
--- a/src/test/java/wrenkeel/net/HostPoolTest.java
+++ b/src/test/java/wrenkeel/net/HostPoolTest.java
@@ -133,15 +133,23 @@
         String chunked = "Transfer-Encoding: chunked\r\n\r\n";
         for (String framing : List.of("Content-Length: 64\r\n\r\nthe rest is mi",
                 chunked + "5\r\nthe r\r\n", chunked + "zz\r\n")) {
-            try (StubHost host = new StubHost()) {
-                startCall(newPool(KEEP_ALIVE_MICROS), host.port(), LONG_MICROS, 10);
-                StubHost.Call call = host.nextCall();
-                call.respond("HTTP/1.1 " + status + " x\r\n" + (header.isEmpty() ? "" : header + "\r\n")
-                    + framing);
-                call.socket().shutdownOutput();
-                HostPool.Reply reply = awaitReply();
-                assertEquals(outcome, reply.outcome(), framing);
-                assertFalse(reply.messageOver(), framing);
+            for (int messages = 1; messages <= 2; messages++) {
+                try (StubHost host = new StubHost()) {
+                    HostPool.Attempt[] attempts = new HostPool.Attempt[messages];
+                    for (int i = 0; i < messages; i++) {
+                        attempts[i] = attempt("m" + i, null, LONG_MICROS, 10);
+                    }
+                    startCall(newPool(KEEP_ALIVE_MICROS), host.port(), attempts);
+                    StubHost.Call call = host.nextCall();
+                    call.respond("HTTP/1.1 " + status + " x\r\n" + (header.isEmpty() ? "" : header + "\r\n")
+                        + framing);
+                    call.socket().shutdownOutput();
+                    for (int i = 0; i < messages; i++) {
+                        HostPool.Reply reply = awaitReply();
+                        assertEquals(outcome, reply.outcome(), framing);
+                        assertFalse(reply.messageOver(), framing);
+                    }
+                }
             }
         }
     }
